internal/node: graceful stop keeps connections that wait to be accepted

Cause: a stop closed the listener while connections still stood in its accept queue; the kernel resets those.

Also found by the same test: the watchdog for silent connections ran while the connection was still being opened, so a slow handshake counted as silence. It now counts from the moment the call has a connection; opening has a limit of its own (1.5 s, room for one lost handshake packet). A cancel that overtook its request was answered "unknown stream" and lost; it is tried again.

The test now uses the product's default silence limit and long event limits, since its subject is the stop; it runs alone.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -52,7 +52,7 @@
 const FieldContinue = "continue_from"
 
 const (
-	defaultDialTimeout  = 500 * time.Millisecond
+	defaultDialTimeout  = 1500 * time.Millisecond
 	defaultProbeTimeout = 500 * time.Millisecond
 	defaultIdleTimeout  = 4 * time.Second
 	maxIdlePerUpstream  = 64
@@ -62,7 +62,8 @@
 
 // ClientOptions sets up a Client. The zero value works.
 type ClientOptions struct {
-	// DialTimeout bounds a new connection. The default is 500 ms.
+	// DialTimeout bounds a new connection. The default is 1.5 s, which leaves
+	// room for one lost handshake packet.
 	DialTimeout time.Duration
 	// ProbeTimeout bounds a probe. The default is 500 ms.
 	ProbeTimeout time.Duration
@@ -127,7 +128,7 @@
 	if err != nil {
 		return upstream.Answer{}, err
 	}
-	ctx, connected := traceConnection(ctx)
+	ctx, connected := traceConnection(ctx, call)
 	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(body))
 	if err != nil {
 		return upstream.Answer{}, notRun("bad_upstream_request", "the request can't be sent to the upstream").WithCause(err)
@@ -150,9 +151,14 @@
 }
 
 // traceConnection returns a context that notes when a call has got a connection.
-func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
+func traceConnection(ctx context.Context, call upstream.Call) (context.Context, *atomic.Bool) {
 	connected := new(atomic.Bool)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		connected.Store(true)
+		if call.Connected != nil {
+			call.Connected()
+		}
+	}}
 	return httptrace.WithClientTrace(ctx, trace), connected
 }
 
@@ -235,7 +241,7 @@
 
 // Resume implements upstream.Client.
 func (c *Client) Resume(ctx context.Context, address string, call upstream.Call, after int) (upstream.Answer, error) {
-	ctx, connected := traceConnection(ctx)
+	ctx, connected := traceConnection(ctx, call)
 	r, err := c.streamRequest(ctx, http.MethodGet, address, call)
 	if err != nil {
 		return upstream.Answer{}, err
@@ -268,6 +274,9 @@
 		return fmt.Errorf("engineapi: cancel: %w", err)
 	}
 	closeBody(resp.Body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("engineapi: cancel: status %d", resp.StatusCode)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,367 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/admin"
+	"github.com/hibiscuscove/hibiscuscove/internal/node"
+	"github.com/hibiscuscove/hibiscuscove/internal/settings"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+)
+
+const (
+	adminToken = "admin-token-of-tests"
+	patience   = 20 * time.Second
+)
+
+// nextPort hands out ports on a loopback address of this process's own, which
+// no outgoing connection takes.
+var nextPort atomic.Int32
+
+func freeAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 10+pid/250%200, 1+pid%250, 20000+nextPort.Add(1))
+}
+
+// fleet is some nodes in this process with a deployment around them.
+type fleet struct {
+	*standin.Deployment
+	t     *testing.T
+	nodes []*testNode
+}
+
+type testNode struct {
+	*node.Node
+	settings settings.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+type fleetOptions struct {
+	nodes  int
+	dep    standin.DeploymentOptions
+	adjust func(i int, s *settings.Settings)
+	client func(i int) upstream.Client
+}
+
+func newFleet(t *testing.T, opts fleetOptions) *fleet {
+	t.Helper()
+	d, err := standin.NewDeployment(opts.dep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	f := &fleet{Deployment: d, t: t}
+	for i := range max(1, opts.nodes) {
+		f.start(i, opts)
+	}
+	t.Cleanup(f.stopAll)
+	f.eventually("every node joins", func() bool {
+		for _, n := range f.nodes {
+			if f.status(n).Node == "" {
+				return false
+			}
+		}
+		return true
+	})
+	f.apply(f.SetJSON())
+	f.eventually("every node is ready", func() bool {
+		for _, n := range f.nodes {
+			if !n.Ready() || !f.sees(n, len(f.nodes)) {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) sees(n *testNode, members int) bool {
+	s := f.status(n)
+	live := 0
+	for _, m := range s.Members {
+		if m.State == "live" {
+			live++
+		}
+	}
+	for _, u := range s.Upstreams {
+		if u.State != "live" {
+			return false
+		}
+	}
+	return live == members
+}
+
+func (f *fleet) start(i int, opts fleetOptions) *testNode {
+	f.t.Helper()
+	s := settings.Default()
+	s.Name = fmt.Sprintf("node-%d", i+1)
+	s.DataCentre = "dc-1"
+	s.Listen = freeAddress()
+	s.ControlListen = freeAddress()
+	s.Advertise = s.Listen
+	s.ControlAdvertise = s.ControlListen
+	s.PlatformURL = f.StoreURL()
+	s.VMListURL = f.VMsURL()
+	s.AdminToken = adminToken
+	s.PeerToken = "peer-token-of-tests"
+	s.HeartbeatMS = 100
+	s.ProbeMS = 50
+	s.SilenceMS = 150
+	s.EntryTTLMS = 200
+	s.LedgerIntervalMS = 5
+	if opts.adjust != nil {
+		opts.adjust(i, &s)
+	}
+	options := node.Options{Now: time.Now}
+	if opts.client != nil {
+		options.Client = opts.client(i)
+	}
+	n, err := node.New(s, options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.AddEntryVM(s.Name, s.DataCentre, s.ControlListen)
+	ctx, cancel := context.WithCancel(context.Background())
+	tn := &testNode{Node: n, settings: s, stop: cancel, done: make(chan error, 1)}
+	go func() { tn.done <- n.Run(ctx) }()
+	f.nodes = append(f.nodes, tn)
+	return tn
+}
+
+func (f *fleet) stopAll() {
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		wg.Go(func() {
+			n.stop()
+			select {
+			case err := <-n.done:
+				if err != nil {
+					f.t.Errorf("%s: %v", n.settings.Name, err)
+				}
+				n.done <- nil
+			case <-time.After(patience):
+				f.t.Errorf("%s did not stop", n.settings.Name)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// eventually waits until the condition holds. The bound only ends a test that
+// would hang.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %s: %s", patience, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status  int
+	verdict string
+	header  http.Header
+	body    string
+	err     error
+}
+
+func (r reply) code() string {
+	var e struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(r.body), &e)
+	return e.Error.Code
+}
+
+func (r reply) notRun() bool { return r.verdict == verdict.NotRun.String() }
+
+type callOptions struct {
+	method string
+	key    string
+	idem   string
+	header map[string]string
+	ctx    context.Context
+}
+
+func (f *fleet) call(n *testNode, path, body string, o callOptions) reply {
+	if o.method == "" {
+		o.method = http.MethodPost
+	}
+	if o.key == "" {
+		o.key = standin.DeploymentKey
+	}
+	if o.ctx == nil {
+		o.ctx = context.Background()
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, o.method, "http://"+n.settings.Listen+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+o.key)
+	if o.idem != "" {
+		r.Header["Idempotency-Key"] = []string{o.idem}
+	}
+	for name, value := range o.header {
+		r.Header.Set(name, value)
+	}
+	resp, err := freshClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{
+		status:  resp.StatusCode,
+		verdict: resp.Header.Get(verdict.Header),
+		header:  resp.Header,
+		body:    string(raw),
+		err:     err,
+	}
+}
+
+var freshClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// file sends a filing with a key and a body.
+func (f *fleet) file(n *testNode, key, body string) reply {
+	return f.call(n, "/services/"+standin.DeploymentServiceRoute+"/lodge", body, callOptions{idem: key})
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// completion is a streamed answer as its caller reads it.
+type completion struct {
+	status int
+	text   string
+	done   bool
+	errors []string
+	err    error
+	header http.Header
+}
+
+const prompt = `"compare the lot with the standard"`
+
+func completionBody(tokens int, streamed bool) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%s,"max_tokens":%d,"stream":%t}`, standin.DeploymentModelRoute, prompt, tokens, streamed)
+}
+
+func (f *fleet) complete(n *testNode, tokens int) completion {
+	return f.completeBody(n, completionBody(tokens, true))
+}
+
+func (f *fleet) completeBody(n *testNode, body string) completion {
+	r := f.call(n, "/v1/completions", body, callOptions{})
+	c := completion{status: r.status, err: r.err, header: r.header}
+	for line := range strings.SplitSeq(r.body, "\n") {
+		data, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			c.done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			Error json.RawMessage `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			c.err = err
+		}
+		if len(chunk.Error) > 0 {
+			c.errors = append(c.errors, string(chunk.Error))
+		}
+		for _, choice := range chunk.Choices {
+			c.text += choice.Text
+		}
+	}
+	if r.status != http.StatusOK {
+		c.errors = append(c.errors, r.body)
+	}
+	return c
+}
+
+// checkWhole fails the test unless the completion is one coherent answer.
+func (c completion) check(tokens int) error {
+	if c.err != nil || len(c.errors) > 0 || !c.done {
+		return fmt.Errorf("status %d, done %t, err %v, errors %v", c.status, c.done, c.err, c.errors)
+	}
+	return standin.CheckAnswer(prompt, c.text, tokens)
+}
+
+// checkCutOrWhole accepts a coherent answer, or an explicit error that can't
+// be taken for an end.
+func (c completion) checkCutOrWhole(tokens int) error {
+	if len(c.errors) == 0 {
+		return c.check(tokens)
+	}
+	if c.done {
+		return fmt.Errorf("an answer with an error has an end: %v", c.errors)
+	}
+	words := len(strings.Fields(c.text))
+	return standin.CheckAnswer(prompt, c.text, words)
+}
+
+func (f *fleet) admin(n *testNode, method, path string, body any) ([]byte, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequest(method, "http://"+n.settings.ControlListen+"/admin/v1/"+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+adminToken)
+	resp, err := freshClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode >= http.StatusBadRequest {
+		err = admin.DecodeError(out)
+	}
+	return out, err
+}
+
+func (f *fleet) status(n *testNode) admin.Status {
+	var s admin.Status
+	if raw, err := f.admin(n, http.MethodGet, "status", nil); err == nil {
+		_ = json.Unmarshal(raw, &s)
+	}
+	return s
+}
+
+func (f *fleet) apply(set json.RawMessage) {
+	f.t.Helper()
+	_, err := f.admin(f.nodes[0], http.MethodPost, "apply", admin.ApplyRequest{ID: newKey(), Set: set})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	metrics    metrics.Registry
 	app        *kratos.App
 	callers    *khttp.Server
+	listener   *quietListener
 
 	fetch   chan fetchOrder
 	leaving atomic.Bool
@@ -215,15 +216,16 @@
 	})
 	mux := http.NewServeMux()
 	handler.Register(mux)
-	callers, err := n.server(n.settings.Listen, n.polite(mux))
+	callers, listener, err := n.server(n.settings.Listen, n.polite(mux))
 	if err != nil {
 		return err
 	}
-	control, err := n.server(n.settings.ControlListen, n.controlMux())
+	control, _, err := n.server(n.settings.ControlListen, n.controlMux())
 	if err != nil {
 		return err
 	}
 	n.callers = callers
+	n.listener = listener
 	n.app = kratos.New(
 		kratos.Name("hibiscuscove"),
 		kratos.ID(n.settings.Name),
@@ -247,16 +249,17 @@
 
 // server returns a kratos HTTP server without a deadline of its own: requests
 // end by their routes' deadlines.
-func (n *Node) server(address string, handler http.Handler) (*khttp.Server, error) {
-	listener, err := net.Listen("tcp", address)
+func (n *Node) server(address string, handler http.Handler) (*khttp.Server, *quietListener, error) {
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("node: listen on %s: %w", address, err)
+		return nil, nil, fmt.Errorf("node: listen on %s: %w", address, err)
 	}
+	listener := &quietListener{Listener: inner, now: n.opts.Now}
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false))
 	server.HandlePrefix("/", handler)
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.MaxHeaderBytes = n.settings.MaxHeaderBytes
-	return server, nil
+	return server, listener, nil
 }
 
 // polite asks callers of a leaving node to use their connection no more.
@@ -321,6 +324,7 @@
 	n.log.Info().Msg("node is leaving")
 	n.tellAll(ctx)
 	sleep(ctx, n.settings.EntryTTL()+slack)
+	n.listener.awaitQuiet(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,204 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/settings"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+)
+
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 3})
+	for _, n := range f.nodes {
+		if err := f.complete(n, 16).check(16); err != nil {
+			t.Errorf("%s: streamed: %v", n.settings.Name, err)
+		}
+		r := f.call(n, "/v1/completions", completionBody(8, false), callOptions{})
+		if r.status != http.StatusOK || r.verdict != "ran" || !strings.Contains(r.body, `"finish_reason":"stop"`) {
+			t.Errorf("%s: unstreamed: %+v", n.settings.Name, r)
+		}
+	}
+	key := newKey()
+	first := f.file(f.nodes[0], key, "filing")
+	f.eventually("the outcome is recorded", func() bool {
+		return f.call(f.nodes[1], "/v1/requests/"+key, "", callOptions{method: http.MethodGet}).verdict == "ran"
+	})
+	again := f.file(f.nodes[2], key, "filing")
+	if diff := cmp.Diff([]string{first.body, "ran", "true"}, []string{again.body, again.verdict, again.header.Get("Hibiscuscove-Replayed")}); diff != "" {
+		t.Errorf("resend (-want +got):\n%s", diff)
+	}
+	if got := f.Runs("filing"); got != 1 {
+		t.Errorf("the filing ran %d times", got)
+	}
+}
+
+// TestRefusals sends what the router must refuse, each with a clear error and
+// the verdict "not run".
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 1})
+	n := f.nodes[0]
+	model := "/v1/completions"
+	filing := "/services/" + standin.DeploymentServiceRoute + "/lodge"
+	tests := map[string]struct {
+		path string
+		body string
+		opts callOptions
+		want int
+		code string
+	}{
+		"no key":               {model, completionBody(1, true), callOptions{header: map[string]string{"Authorization": "Basic x"}}, 401, "missing_key"},
+		"unknown key":          {model, completionBody(1, true), callOptions{key: "nobody"}, 401, "unknown_key"},
+		"foreign model route":  {model, completionBody(1, true), callOptions{key: standin.DeploymentOtherKey}, 404, "unknown_route"},
+		"foreign service":      {filing, "x", callOptions{key: standin.DeploymentOtherKey, idem: newKey()}, 404, "unknown_route"},
+		"unknown route":        {"/services/nothing/x", "x", callOptions{}, 404, "unknown_route"},
+		"unknown path":         {"/v2/completions", "{}", callOptions{}, 404, "unknown_path"},
+		"wrong method":         {model, "", callOptions{method: http.MethodDelete}, 404, "unknown_path"},
+		"not JSON":             {model, "{", callOptions{}, 400, "bad_json"},
+		"wrong type":           {model, `{"model":7}`, callOptions{}, 400, "bad_field"},
+		"no model":             {model, `{"prompt":"x"}`, callOptions{}, 400, "missing_field"},
+		"deep nesting":         {model, `{"model":"x","a":` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + `}`, callOptions{}, 400, "nesting_too_deep"},
+		"large body":           {model, strings.Repeat("x", 9<<20), callOptions{}, 413, "body_too_large"},
+		"long target":          {"/v1/completions?" + strings.Repeat("x", 9<<10), "{}", callOptions{}, 414, "target_too_long"},
+		"no idempotency key":   {filing, "x", callOptions{}, 400, "missing_idempotency_key"},
+		"bad idempotency key":  {filing, "x", callOptions{idem: "17"}, 400, "bad_idempotency_key"},
+		"random UUID as a key": {filing, "x", callOptions{idem: "7f459562-12ad-4923-8d70-6d895fef9217"}, 400, "bad_idempotency_key"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := f.call(n, tt.path, tt.body, tt.opts)
+			want := fmt.Sprintf("%d %s not_run", tt.want, tt.code)
+			got := fmt.Sprintf("%d %s %s", r.status, r.code(), r.verdict)
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s%s", diff, r.body)
+			}
+		})
+	}
+	if got := f.Total() + f.Executed(); got != 0 {
+		t.Errorf("%d refused requests have run", got)
+	}
+}
+
+// TestLongHeader sends more header bytes than the node takes.
+func TestLongHeader(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 1})
+	r := f.call(f.nodes[0], "/v1/models", "", callOptions{method: http.MethodGet, header: map[string]string{"X-Long": strings.Repeat("x", 64<<10)}})
+	if r.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d, want 431", r.status)
+	}
+}
+
+// TestControlNeedsCredentials calls the control address without the right token.
+func TestControlNeedsCredentials(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 1})
+	control := &testNode{settings: f.nodes[0].settings}
+	control.settings.Listen = control.settings.ControlListen
+	for name, path := range map[string]string{
+		"dump":     "/admin/v1/dump",
+		"exchange": "/twirp/hibiscuscove.peerrpc.Peer/Exchange",
+	} {
+		t.Run(name, func(t *testing.T) {
+			method := http.MethodPost
+			if name == "dump" {
+				method = http.MethodGet
+			}
+			r := f.call(control, path, "{}", callOptions{method: method, key: "wrong"})
+			if r.status != http.StatusUnauthorized || !r.notRun() {
+				t.Errorf("status %d, verdict %q", r.status, r.verdict)
+			}
+		})
+	}
+}
+
+// TestDumpHasNoSecrets looks for the tokens in a node's dump.
+func TestDumpHasNoSecrets(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 1})
+	raw, err := f.admin(f.nodes[0], http.MethodGet, "dump", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secret := range []string{adminToken, "peer-token-of-tests", standin.DeploymentKey} {
+		if strings.Contains(string(raw), secret) {
+			t.Errorf("the dump holds %q", secret)
+		}
+	}
+}
+
+// TestGracefulStop stops a node under open streams and with arrivals that hold
+// an entry answer naming it.
+//
+// It runs alone, since it takes all the processors.
+func TestGracefulStop(t *testing.T) {
+	const streams, tokens = 500, 20
+	f := newFleet(t, fleetOptions{
+		nodes: 2,
+		dep: standin.DeploymentOptions{
+			Engine:           standin.EngineOptions{TokenTime: 60 * time.Millisecond},
+			FirstByteTimeout: patience,
+			EventTimeout:     patience,
+			Deadline:         2 * patience,
+		},
+		adjust: func(_ int, s *settings.Settings) { s.SilenceMS = settings.Default().SilenceMS },
+	})
+	leaving := f.nodes[0]
+	var wg sync.WaitGroup
+	results := make(chan error, 2*streams)
+	open := func() {
+		wg.Go(func() { results <- f.complete(leaving, tokens).check(tokens) })
+	}
+	for range streams {
+		open()
+	}
+	time.Sleep(300 * time.Millisecond)
+	leaving.stop()
+	ttl := leaving.settings.EntryTTL()
+	for started := time.Now(); time.Since(started) < ttl; time.Sleep(5 * time.Millisecond) {
+		open()
+	}
+	wg.Wait()
+	close(results)
+	for err := range results {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case err := <-leaving.done:
+		leaving.done <- err
+	case <-time.After(patience):
+		t.Fatal("the node did not end by itself")
+	}
+	for range 20 {
+		r := f.call(f.nodes[1], "/v1/entry", "", callOptions{method: http.MethodGet})
+		if strings.Contains(r.body, leaving.settings.Name) {
+			t.Fatalf("a stopped node is handed out: %s", r.body)
+		}
+	}
+}
+
+// TestCallerGone leaves in mid-stream; the engine is told to stop.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{
+		nodes: 1,
+		dep:   standin.DeploymentOptions{Engines: 1, Engine: standin.EngineOptions{TokenTime: 20 * time.Millisecond}},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.call(f.nodes[0], "/v1/completions", completionBody(1000, true), callOptions{ctx: ctx})
+	f.eventually("the engine runs the request", func() bool { return f.Engines[0].Executed() == 1 })
+	cancel()
+	f.eventually("the engine's stream is cancelled", func() bool { return f.Engines[0].Cancelled() == 1 })
+}
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -15,6 +15,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -124,7 +125,8 @@
 }
 
 func bodyError(err error) error {
-	if e, ok := err.(*json.UnmarshalTypeError); ok {
+	var e *json.UnmarshalTypeError
+	if errors.As(err, &e) {
 		return refuse("bad_field", e.Field, "want %s, got %s", e.Type, e.Value)
 	}
 	return refuse("bad_json", "", "%s", err)
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -15,7 +15,8 @@
 
 const (
 	reattachPause = 20 * time.Millisecond
-	cancelTimeout = time.Second
+	cancelTimeout = 2 * time.Second
+	cancelTries   = 5
 )
 
 // errDone ends the copying of events at the explicit end of the stream.
@@ -78,8 +79,10 @@
 func (a *attempt) connect(ctx context.Context, sequencer *stream.Sequencer, open func(context.Context) (upstream.Answer, error)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(a.silence(), func() { cancel(errSilent) })
+	// Opening a connection has a limit of its own; silence counts from then on.
+	watchdog := time.AfterFunc(max(reattachPause, a.timeLeft()), func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	a.call.Connected = func() { watchdog.Reset(a.silence()) }
 	answer, err := open(ctx)
 	if err != nil {
 		return a.openError(ctx, err)
@@ -221,7 +224,7 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(reattachPause):
+	case <-time.After(jitter(2 * reattachPause)):
 		return true
 	}
 }
@@ -258,6 +261,11 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	go func() {
 		defer cancel()
-		_ = a.h.opts.Client.Cancel(ctx, a.candidate.Address, a.call)
+		// The engine may still be reading the request and not know it yet.
+		for range cancelTries {
+			if a.h.opts.Client.Cancel(ctx, a.candidate.Address, a.call) == nil || !a.pause(ctx) {
+				return
+			}
+		}
 	}()
 }
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/vm"
+)
+
+const (
+	loopback          = "127.0.0.1:0"
+	readHeaderTimeout = 10 * time.Second
+	deploymentSlots   = 64
+)
+
+// The names of what a Deployment's configuration holds.
+const (
+	DeploymentKey          = "key-of-the-first-organisation"
+	DeploymentOtherKey     = "key-of-the-second-organisation"
+	DeploymentModelRoute   = "lot-replies"
+	DeploymentServiceRoute = "filings"
+	DeploymentLookupRoute  = "lookups"
+	DeploymentDraftRoute   = "drafts"
+	DeploymentWeights      = "v1"
+)
+
+// DeploymentOptions sets up a Deployment. The zero value works.
+type DeploymentOptions struct {
+	// Engines and Services are numbers of upstreams. The defaults are 2 and 1.
+	Engines, Services int
+	Engine            EngineOptions
+	// DataCentres are given to upstreams in turn. The default is one named "dc-1".
+	DataCentres []string
+	// FirstByteTimeout and EventTimeout are the limits of all routes. The defaults are 2 s and 1 s.
+	FirstByteTimeout, EventTimeout time.Duration
+	// Deadline bounds all requests. The default is 10 s.
+	Deadline time.Duration
+	// NoContinue says that engines can't go on from a cut answer's text.
+	NoContinue bool
+}
+
+// Deployment is everything around the router, on loopback addresses.
+type Deployment struct {
+	Store    *Store
+	VMs      *VMList
+	Engines  []*Engine
+	Services []*Service
+
+	opts             DeploymentOptions
+	servers          []*http.Server
+	storeAddress     string
+	vmsAddress       string
+	engineAddresses  []string
+	serviceAddresses []string
+	wg               sync.WaitGroup
+}
+
+// NewDeployment starts the stand-ins.
+func NewDeployment(opts DeploymentOptions) (*Deployment, error) {
+	opts = opts.withDefaults()
+	d := &Deployment{Store: NewStore(), VMs: NewVMList(), opts: opts}
+	var err error
+	if d.storeAddress, err = d.serve(d.Store); err != nil {
+		return nil, err
+	}
+	if d.vmsAddress, err = d.serve(d.VMs); err != nil {
+		return nil, err
+	}
+	for i := range opts.Engines {
+		engine := opts.Engine
+		engine.Name = fmt.Sprintf("engine-%d", i+1)
+		engine.WeightsVersion = DeploymentWeights
+		e := NewEngine(engine)
+		address, err := d.serve(e)
+		if err != nil {
+			return nil, err
+		}
+		d.Engines = append(d.Engines, e)
+		d.engineAddresses = append(d.engineAddresses, address)
+	}
+	for i := range opts.Services {
+		s := NewService(fmt.Sprintf("service-%d", i+1))
+		address, err := d.serve(s)
+		if err != nil {
+			return nil, err
+		}
+		d.Services = append(d.Services, s)
+		d.serviceAddresses = append(d.serviceAddresses, address)
+	}
+	return d, nil
+}
+
+func (o DeploymentOptions) withDefaults() DeploymentOptions {
+	if o.Engines == 0 {
+		o.Engines = 2
+	}
+	if o.Services == 0 {
+		o.Services = 1
+	}
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"dc-1"}
+	}
+	if o.FirstByteTimeout == 0 {
+		o.FirstByteTimeout = 2 * time.Second
+	}
+	if o.EventTimeout == 0 {
+		o.EventTimeout = time.Second
+	}
+	if o.Deadline == 0 {
+		o.Deadline = 10 * time.Second
+	}
+	return o
+}
+
+func (d *Deployment) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("standin: listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	d.servers = append(d.servers, server)
+	d.wg.Go(func() { _ = server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+// Close ends the stand-ins and cuts their connections.
+func (d *Deployment) Close() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	d.wg.Wait()
+}
+
+// StoreURL returns the base URL of the object API.
+func (d *Deployment) StoreURL() string { return "http://" + d.storeAddress }
+
+// VMsURL returns the base URL of the list of VMs.
+func (d *Deployment) VMsURL() string { return "http://" + d.vmsAddress }
+
+// EngineAddress returns the address of the engine with a zero-based index.
+func (d *Deployment) EngineAddress(i int) string { return d.engineAddresses[i] }
+
+// Total returns how many requests have run on all services.
+func (d *Deployment) Total() int {
+	total := 0
+	for _, s := range d.Services {
+		total += s.Total()
+	}
+	return total
+}
+
+// Runs returns how often a body has run on all services.
+func (d *Deployment) Runs(body string) int {
+	runs := 0
+	for _, s := range d.Services {
+		runs += s.Runs(body)
+	}
+	return runs
+}
+
+// Executed returns how many requests have begun to run on all engines.
+func (d *Deployment) Executed() int {
+	executed := 0
+	for _, e := range d.Engines {
+		executed += e.Executed()
+	}
+	return executed
+}
+
+// AddEntryVM puts a node's control address on the list of VMs.
+func (d *Deployment) AddEntryVM(name, dataCentre, controlAddress string) {
+	d.VMs.mu.Lock()
+	defer d.VMs.mu.Unlock()
+	d.VMs.list = append(d.VMs.list, vm.VM{
+		Name:       name,
+		Role:       vm.RoleEntry,
+		State:      vm.StateLive,
+		DataCentre: dataCentre,
+		Address:    controlAddress,
+	})
+}
+
+// Set returns a configuration for the deployment: two organisations, of which
+// the second may use the lookup route only; an idempotent model route, a model
+// route that is not, and plain services of both kinds.
+func (d *Deployment) Set() contract.Set {
+	route := func(name string, kind contract.RouteKind, pool string, idempotent bool) contract.Route {
+		return contract.Route{
+			Name:               name,
+			Kind:               kind,
+			Pool:               pool,
+			Idempotent:         idempotent,
+			Priority:           "normal",
+			FirstByteTimeoutMS: int(d.opts.FirstByteTimeout.Milliseconds()),
+			EventTimeoutMS:     int(d.opts.EventTimeout.Milliseconds()),
+			DeadlineMS:         int(d.opts.Deadline.Milliseconds()),
+			MaxAttempts:        3,
+		}
+	}
+	return contract.Set{
+		Organisations: []contract.Organisation{
+			{
+				Name:      "first",
+				KeyHashes: []string{contract.HashKey(DeploymentKey)},
+				Share:     10,
+				Routes:    []string{DeploymentModelRoute, DeploymentServiceRoute, DeploymentLookupRoute, DeploymentDraftRoute},
+			},
+			{
+				Name:      "second",
+				KeyHashes: []string{contract.HashKey(DeploymentOtherKey)},
+				Share:     1,
+				Routes:    []string{DeploymentLookupRoute},
+			},
+		},
+		ModelVersions: []contract.ModelVersion{{Name: "replies-v1", Model: "replies", WeightsVersion: DeploymentWeights}},
+		Pools: []contract.Pool{
+			d.pool("engines", contract.PoolEngine, d.engineAddresses),
+			d.pool("desk", contract.PoolService, d.serviceAddresses),
+		},
+		Routes: []contract.Route{
+			route(DeploymentModelRoute, contract.RouteModel, "engines", true),
+			route(DeploymentDraftRoute, contract.RouteModel, "engines", false),
+			route(DeploymentServiceRoute, contract.RouteService, "desk", false),
+			route(DeploymentLookupRoute, contract.RouteService, "desk", true),
+		},
+		Priorities: []contract.Priority{{Name: "normal", Level: 3}},
+	}
+}
+
+func (d *Deployment) pool(name string, kind contract.PoolKind, addresses []string) contract.Pool {
+	pool := contract.Pool{Name: name, Kind: kind, Slots: deploymentSlots}
+	if kind == contract.PoolEngine {
+		pool.ModelVersion = "replies-v1"
+		pool.ContinuesAnswers = !d.opts.NoContinue
+	}
+	for i, address := range addresses {
+		pool.Upstreams = append(pool.Upstreams, contract.Upstream{
+			Name:       fmt.Sprintf("%s-%d", name, i+1),
+			Address:    address,
+			DataCentre: d.opts.DataCentres[i%len(d.opts.DataCentres)],
+		})
+	}
+	return pool
+}
+
+// SetJSON returns Set as operators write it.
+func (d *Deployment) SetJSON() json.RawMessage {
+	raw, err := json.Marshal(d.Set())
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -16,6 +16,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"reflect"
@@ -78,7 +79,8 @@
 	if err == nil {
 		return
 	}
-	if e, ok := err.(*json.UnmarshalTypeError); ok {
+	var e *json.UnmarshalTypeError
+	if errors.As(err, &e) {
 		d.add(field, "want %s, got %s", e.Type, e.Value)
 		return
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,6 +73,8 @@
 	// WeightsVersion is the only version of the weights that may answer. An
 	// engine with another one refuses the call. It is empty for plain services.
 	WeightsVersion string
+	// Connected is called, if it is set, when the call has got a connection.
+	Connected func()
 }
 
 // Answer is the beginning of an upstream's answer.
