--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/admin"
 	"github.com/hibiscuscove/hibiscuscove/internal/node"
+	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
@@ -41,8 +42,9 @@
 // fleet is some nodes in this process with a deployment around them.
 type fleet struct {
 	*standin.Deployment
-	t     *testing.T
-	nodes []*testNode
+	t        *testing.T
+	nodes    []*testNode
+	injector *injector
 }
 
 type testNode struct {
@@ -56,7 +58,8 @@
 	nodes  int
 	dep    standin.DeploymentOptions
 	adjust func(i int, s *settings.Settings)
-	client func(i int) upstream.Client
+	client func(f *fleet) upstream.Client
+	store  func(f *fleet) platform.Store
 }
 
 func newFleet(t *testing.T, opts fleetOptions) *fleet {
@@ -130,7 +133,10 @@
 	}
 	options := node.Options{Now: time.Now}
 	if opts.client != nil {
-		options.Client = opts.client(i)
+		options.Client = opts.client(f)
+	}
+	if opts.store != nil {
+		options.Store = opts.store(f)
 	}
 	n, err := node.New(s, options)
 	if err != nil {
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
 )
 
@@ -145,6 +146,32 @@
 // EngineAddress returns the address of the engine with a zero-based index.
 func (d *Deployment) EngineAddress(i int) string { return d.engineAddresses[i] }
 
+// Upstream is an engine or a service.
+type Upstream interface {
+	// Crash ends the incarnation until Restart.
+	Crash()
+	Restart()
+	SetState(upstream.State)
+}
+
+// Upstream returns the engine or service at an address.
+func (d *Deployment) Upstream(address string) (Upstream, bool) {
+	for i, a := range d.engineAddresses {
+		if a == address {
+			return d.Engines[i], true
+		}
+	}
+	for i, a := range d.serviceAddresses {
+		if a == address {
+			return d.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// ServiceAddress returns the address of the service with a zero-based index.
+func (d *Deployment) ServiceAddress(i int) string { return d.serviceAddresses[i] }
+
 // Total returns how many requests have run on all services.
 func (d *Deployment) Total() int {
 	total := 0
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -44,11 +44,30 @@
 	state       upstream.State
 	runs        map[string]int
 	total       int
+	crashed     chan struct{}
 }
 
 // NewService returns a Service.
 func NewService(name string) *Service {
-	return &Service{name: name, incarnation: uuid.NewString(), state: upstream.StateLive, runs: make(map[string]int)}
+	return &Service{name: name, incarnation: uuid.NewString(), state: upstream.StateLive, runs: make(map[string]int), crashed: make(chan struct{})}
+}
+
+// Crash ends the incarnation: requests under way are cut. The service stays
+// down until Restart.
+func (s *Service) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		close(s.crashed)
+	}
+	s.down = true
+}
+
+// SetState makes the service say that it is live or leaving.
+func (s *Service) SetState(state upstream.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
 }
 
 // SetFault switches a fault on, and off with the zero value.
@@ -77,8 +96,12 @@
 func (s *Service) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.down {
+		return
+	}
 	s.down = false
 	s.incarnation = uuid.NewString()
+	s.crashed = make(chan struct{})
 }
 
 func (s *Service) takeFault() (ServiceFault, bool) {
@@ -146,14 +169,20 @@
 	s.total++
 	number := s.total
 	w.Header().Set(engineapi.HeaderIncarnation, s.incarnation)
-	s.down = s.down || fault.CrashAfterRun
+	crashed := s.crashed
 	s.mu.Unlock()
+	if fault.CrashAfterRun {
+		s.Crash()
+	}
 	switch {
 	case fault.CutAfterRun || fault.CrashAfterRun:
 		panic(http.ErrAbortHandler)
 	case fault.SilentAfterRun:
-		<-r.Context().Done()
-		return
+		select {
+		case <-r.Context().Done():
+		case <-crashed:
+		}
+		panic(http.ErrAbortHandler)
 	case fault.Fail > 0:
 		http.Error(w, "the service fails", fault.Fail)
 		return
