cmd/hibiscuscove: process tests with kills, pauses and a herd restart; quickstart

Cause: kills and pauses of a whole process can't be shown inside one process.

Nine processes on loopback: kill -9 of the node that holds a dispatched filing (its key then says "may have run", nobody runs it again), SIGSTOP of a node while its claim is on the way and SIGCONT a second later, kill -9 of all nodes at once, kill -9 of an engine in mid-stream, SIGTERM, bad settings.

--- /dev/null
+++ b/cmd/hibiscuscove/process_test.go
@@ -0,0 +1,454 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/uuid"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+)
+
+const (
+	patience   = 30 * time.Second
+	adminToken = "admin-token-of-tests"
+	apiKey     = "key-of-the-tests"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hibiscuscove")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "./cmd/...")
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+var nextPort atomic.Int32
+
+func freeAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 10+pid/250%200, 1+pid%250, 20000+nextPort.Add(1))
+}
+
+// process is one program that the test has started.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	control string
+	config  string
+	log     *bytes.Buffer
+	ended   chan error
+}
+
+func start(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, cmd: exec.Command(filepath.Join(binaries, program), args...), log: new(bytes.Buffer), ended: make(chan error, 1)}
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	p.wait()
+}
+
+func (p *process) wait() error {
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return err
+	case <-time.After(patience):
+		p.t.Errorf("process %d does not end", p.cmd.Process.Pid)
+		return nil
+	}
+}
+
+func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// system is every process of a small installation.
+type system struct {
+	t        *testing.T
+	store    *process
+	vms      *process
+	engines  []*process
+	service  *process
+	nodes    []*process
+	settings string
+}
+
+func standIn(t *testing.T, kind string, args ...string) *process {
+	address := freeAddress()
+	p := start(t, "covestandin", append([]string{"-kind", kind, "-listen", address}, args...)...)
+	p.address = address
+	return p
+}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, store: standIn(t, "store"), vms: standIn(t, "vms")}
+	for i := range 2 {
+		s.engines = append(s.engines, standIn(t, "engine", "-name", fmt.Sprintf("engine-%d", i+1), "-token_time", "20ms"))
+	}
+	s.service = standIn(t, "service", "-name", "desk-1")
+	for i := range 3 {
+		s.nodes = append(s.nodes, s.startNode(i))
+	}
+	s.eventually("the nodes answer", func() bool {
+		return len(s.live(s.nodes[0])) == 0 && s.get(s.nodes[2].control, "/admin/v1/status").StatusCode == 200
+	})
+	s.ctl(s.nodes[0], "apply", s.file("set.json", s.set()))
+	s.eventually("the nodes are ready", func() bool { return s.ready() })
+	return s
+}
+
+func (s *system) ready() bool {
+	for _, n := range s.nodes {
+		if len(s.live(n)) != len(s.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *system) startNode(i int) *process {
+	listen, control := freeAddress(), freeAddress()
+	var peers []string
+	for _, n := range s.nodes {
+		peers = append(peers, n.control)
+	}
+	config := s.file(fmt.Sprintf("node-%d.json", nextPort.Add(1)), map[string]any{
+		"name":           fmt.Sprintf("node-%d", i+1),
+		"data_centre":    "dc-1",
+		"listen":         listen,
+		"control_listen": control,
+		"platform_url":   "http://" + s.store.address,
+		"vm_list_url":    "http://" + s.vms.address,
+		"peers":          peers,
+		"admin_token":    adminToken,
+		"peer_token":     "peer-token-of-tests",
+		"heartbeat_ms":   100,
+		"probe_ms":       50,
+		"silence_ms":     200,
+		"entry_ttl_ms":   200,
+	})
+	n := start(s.t, "hibiscuscove", "-settings", config)
+	n.address, n.control, n.config = listen, control, config
+	return n
+}
+
+func (s *system) restart(i int) {
+	old := s.nodes[i]
+	n := start(s.t, "hibiscuscove", "-settings", old.config)
+	n.address, n.control, n.config = old.address, old.control, old.config
+	s.nodes[i] = n
+}
+
+func (s *system) file(name string, value any) string {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.t.TempDir(), name)
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func (s *system) set() contract.Set {
+	route := contract.Route{Name: "replies", Kind: contract.RouteModel, Pool: "engines", Idempotent: true, Priority: "normal", FirstByteTimeoutMS: 3000, EventTimeoutMS: 2000, DeadlineMS: 20000, MaxAttempts: 3}
+	filing := route
+	filing.Name, filing.Kind, filing.Pool, filing.Idempotent = "filings", contract.RouteService, "desk", false
+	engines := contract.Pool{Name: "engines", Kind: contract.PoolEngine, ModelVersion: "replies-v1", Slots: 64, ContinuesAnswers: true}
+	for i, e := range s.engines {
+		engines.Upstreams = append(engines.Upstreams, contract.Upstream{Name: fmt.Sprintf("engine-%d", i+1), Address: e.address, DataCentre: "dc-1"})
+	}
+	desk := contract.Pool{Name: "desk", Kind: contract.PoolService, Slots: 64, Upstreams: []contract.Upstream{{Name: "desk-1", Address: s.service.address, DataCentre: "dc-1"}}}
+	return contract.Set{
+		Organisations: []contract.Organisation{{Name: "first", KeyHashes: []string{contract.HashKey(apiKey)}, Share: 1, Routes: []string{"replies", "filings"}}},
+		ModelVersions: []contract.ModelVersion{{Name: "replies-v1", Model: "replies", WeightsVersion: "v1"}},
+		Pools:         []contract.Pool{engines, desk},
+		Routes:        []contract.Route{route, filing},
+		Priorities:    []contract.Priority{{Name: "normal", Level: 3}},
+	}
+}
+
+// ctl runs covectl against a node and returns what it prints.
+func (s *system) ctl(n *process, args ...string) string {
+	s.t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "covectl"), append([]string{"-node", n.control, "-entry", n.address}, args...)...)
+	cmd.Env = append(os.Environ(), "COVE_ADMIN_TOKEN="+adminToken, "COVE_API_KEY="+apiKey)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		s.t.Fatalf("covectl %v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+func (s *system) eventually(what string, condition func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			for _, n := range s.nodes {
+				s.t.Logf("%s:\n%s", n.address, n.log)
+			}
+			s.t.Fatalf("not within %s: %s", patience, what)
+		}
+	}
+}
+
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+
+func (s *system) do(method, url, token, key, body string) (*http.Response, string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return &http.Response{Header: http.Header{}}, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp, string(raw)
+}
+
+func (s *system) get(address, path string) *http.Response {
+	resp, _ := s.do(http.MethodGet, "http://"+address+path, adminToken, "", "")
+	return resp
+}
+
+// live returns the names of the members that a node calls live.
+func (s *system) live(n *process) []string {
+	_, raw := s.do(http.MethodGet, "http://"+n.control+"/admin/v1/status", adminToken, "", "")
+	var status struct {
+		Members []struct{ Name, State string }
+	}
+	_ = json.Unmarshal([]byte(raw), &status)
+	var names []string
+	for _, m := range status.Members {
+		if m.State == "live" {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (s *system) fault(p *process, fault string) {
+	if resp, _ := s.do(http.MethodPost, "http://"+p.address+"/fault", "", "", fault); resp.StatusCode >= 300 {
+		s.t.Fatalf("fault: status %d", resp.StatusCode)
+	}
+}
+
+func (s *system) runs() int {
+	_, raw := s.do(http.MethodGet, "http://"+s.service.address+"/stats", "", "", "")
+	var stats struct{ Total int }
+	_ = json.Unmarshal([]byte(raw), &stats)
+	return stats.Total
+}
+
+func (s *system) fileFiling(n *process, key string) (string, string) {
+	resp, body := s.do(http.MethodPost, "http://"+n.address+"/services/filings/lodge", apiKey, key, "a filing")
+	return resp.Header.Get(verdict.Header), body
+}
+
+const completion = `{"model":"replies","prompt":"long text","stream":true,"max_tokens":%d}`
+
+func (s *system) complete(n *process, tokens int) (int, bool) {
+	_, body := s.do(http.MethodPost, "http://"+n.address+"/v1/completions", apiKey, "", fmt.Sprintf(completion, tokens))
+	return strings.Count(body, `"text":"w`), strings.HasSuffix(body, "data: [DONE]\n\n")
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// TestSeparateProcesses runs the whole path with each part as a process of its own.
+func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	entry := s.ctl(s.nodes[0], "entry")
+	if !strings.Contains(entry, "dc-1") {
+		t.Errorf("entry: %s", entry)
+	}
+	if words, done := s.complete(s.nodes[1], 10); words != 10 || !done {
+		t.Errorf("streamed completion: %d words, done %t", words, done)
+	}
+	key := newKey()
+	if v, body := s.fileFiling(s.nodes[2], key); v != "ran" {
+		t.Errorf("filing: %s %s", v, body)
+	}
+	s.eventually("the outcome is known", func() bool { return strings.HasPrefix(s.ctl(s.nodes[0], "request", key), "ran (ran)") })
+	for _, command := range []string{"status", "dump", "get", "history"} {
+		if out := s.ctl(s.nodes[0], command); out == "" || strings.Contains(out, adminToken) {
+			t.Errorf("covectl %s: %s", command, out)
+		}
+	}
+	if out := s.ctl(s.nodes[1], "apply", s.file("again.json", s.set())); !strings.HasPrefix(out, "already applied") {
+		t.Errorf("apply given again says: %s", out)
+	}
+	s.nodes[0].signal(syscall.SIGTERM)
+	if err := s.nodes[0].wait(); err != nil {
+		t.Errorf("after SIGTERM: %v\n%s", err, s.nodes[0].log)
+	}
+}
+
+// TestHolderKilledAfterDispatch kills the node that has dispatched a filing.
+// Nobody may run it again, and its caller learns that it may have run.
+func TestHolderKilledAfterDispatch(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.fault(s.service, `{"delay_ms":1000}`)
+	key := newKey()
+	go s.fileFiling(s.nodes[0], key)
+	time.Sleep(500 * time.Millisecond)
+	s.nodes[0].kill()
+	var v string
+	s.eventually("the resend has an outcome", func() bool {
+		v, _ = s.fileFiling(s.nodes[1], key)
+		return strings.HasPrefix(s.ctl(s.nodes[2], "request", key), "may_have_run")
+	})
+	time.Sleep(time.Second)
+	if diff := cmp.Diff([]any{"may_have_run", 1}, []any{v, s.runs()}); diff != "" {
+		t.Errorf("verdict and runs (-want +got):\n%s", diff)
+	}
+}
+
+// TestHolderPausedAfterClaim stops a node while its claim is on the way to the
+// platform, for longer than it takes to be called dead, and wakes it again.
+func TestHolderPausedAfterClaim(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	for round := range 3 {
+		key := newKey()
+		before := s.runs()
+		s.fault(s.store, `{"delay_ms":200}`)
+		first := make(chan string, 1)
+		go func() {
+			v, _ := s.fileFiling(s.nodes[0], key)
+			first <- v
+		}()
+		time.Sleep(time.Duration(100+100*round) * time.Millisecond)
+		s.nodes[0].signal(syscall.SIGSTOP)
+		time.Sleep(time.Second)
+		s.fault(s.store, `{}`)
+		second, _ := s.fileFiling(s.nodes[1], key)
+		s.nodes[0].signal(syscall.SIGCONT)
+		v := <-first
+		time.Sleep(500 * time.Millisecond)
+		runs := s.runs() - before
+		switch {
+		case runs > 1:
+			t.Errorf("round %d: the filing ran %d times", round, runs)
+		case v == "not_run" && second == "not_run" && runs > 0:
+			t.Errorf("round %d: both were told not run, and it ran", round)
+		case (v == "ran" || second == "ran") && runs != 1:
+			t.Errorf("round %d: %s and %s, ran %d times", round, v, second, runs)
+		}
+		s.eventually("the paused node is live again", s.ready)
+	}
+}
+
+// TestHerdRestart kills all nodes at once and starts them again: the accepted
+// configuration is in force and requests are served.
+func TestHerdRestart(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	for _, n := range s.nodes {
+		n.kill()
+	}
+	for i := range s.nodes {
+		s.restart(i)
+	}
+	started := time.Now()
+	s.eventually("every node serves", func() bool {
+		for _, n := range s.nodes {
+			if words, done := s.complete(n, 1); words != 1 || !done {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("all nodes serve %s after the herd restart", time.Since(started).Round(time.Millisecond))
+	if out := s.ctl(s.nodes[0], "history"); !strings.Contains(out, "\n1 ") {
+		t.Errorf("history after the restart: %s", out)
+	}
+}
+
+// TestEngineKilledInMidStream kills an engine's process under a stream.
+func TestEngineKilledInMidStream(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	type result struct {
+		words int
+		done  bool
+	}
+	results := make(chan result, 1)
+	go func() {
+		words, done := s.complete(s.nodes[0], 50)
+		results <- result{words, done}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	var busy *process
+	s.eventually("an engine runs the request", func() bool {
+		for _, e := range s.engines {
+			_, raw := s.do(http.MethodGet, "http://"+e.address+"/stats", "", "", "")
+			if strings.Contains(raw, `"running":1`) {
+				busy = e
+			}
+		}
+		return busy != nil
+	})
+	busy.kill()
+	if got := <-results; got != (result{50, true}) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestSettingsProblems starts the daemon with bad settings.
+func TestSettingsProblems(t *testing.T) {
+	t.Parallel()
+	s := &system{t: t}
+	path := s.file("bad.json", map[string]any{"name": "Bad Name", "listen": "localhost:1", "heartbeat_ms": "soon", "colour": 1})
+	cmd := exec.Command(filepath.Join(binaries, "hibiscuscove"), "-check", "-settings", path)
+	out, err := cmd.CombinedOutput()
+	if code := cmd.ProcessState.ExitCode(); code != 2 {
+		t.Errorf("exit code %d (%v), want 2", code, err)
+	}
+	for _, field := range []string{"name", "listen", "heartbeat_ms", "colour", "admin_token", "platform_url"} {
+		if !strings.Contains(string(out), "settings: "+field+": ") {
+			t.Errorf("no line on %s in:\n%s", field, out)
+		}
+	}
+}
--- /dev/null
+++ b/examples/quickstart/main.go
@@ -0,0 +1,76 @@
+// Command quickstart runs a whole fleet in one process on loopback addresses:
+// three nodes, four model engines, a plain service, the platform's object API
+// and the list of VMs. It applies a configuration, sends traffic with long
+// shared prompts and a filing that must not repeat, prints what it did and
+// ends.
+//
+// # Usage
+//
+//	go run ./examples/quickstart
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+)
+
+const (
+	nodeCount   = 3
+	engineCount = 4
+	timeLimit   = time.Minute
+)
+
+func main() {
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	defer cancel()
+	if err := run(ctx, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, w io.Writer) error {
+	deployment, err := standin.NewDeployment(standin.DeploymentOptions{
+		Engines:          engineCount,
+		FirstByteTimeout: 10 * time.Second,
+		EventTimeout:     5 * time.Second,
+		Engine: standin.EngineOptions{
+			TokenTime:       2 * time.Millisecond,
+			PrefillPerBlock: 2 * time.Millisecond,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer deployment.Close()
+	f, err := startFleet(deployment)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	generation, err := f.apply(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "configuration generation %d is in force on %d nodes\n", generation, nodeCount)
+	if err := f.awaitUpstreams(ctx, engineCount); err != nil {
+		return err
+	}
+	entry, err := f.entry(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "/v1/entry says: use %s (%s) for %d ms\n\n", entry.Address, entry.Node, entry.TTLMS)
+	if err := sendPrompts(ctx, w, f); err != nil {
+		return err
+	}
+	return lodgeFiling(ctx, w, f)
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -313,10 +313,13 @@
 	return c
 }
 
-// checkWhole fails the test unless the completion is one coherent answer.
+// check returns an error unless the completion is one coherent answer.
 func (c completion) check(tokens int) error {
-	if c.err != nil || len(c.errors) > 0 || !c.done {
-		return fmt.Errorf("status %d, done %t, err %v, errors %v", c.status, c.done, c.err, c.errors)
+	if c.err != nil {
+		return fmt.Errorf("status %d: %w, errors %v", c.status, c.err, c.errors)
+	}
+	if len(c.errors) > 0 || !c.done {
+		return fmt.Errorf("status %d, done %t, errors %v", c.status, c.done, c.errors)
 	}
 	return standin.CheckAnswer(prompt, c.text, tokens)
 }
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -134,16 +134,16 @@
 
 // Levels splits the prompt into nested levels of shared text, the widest
 // shared first. Each level is the text it adds to the one before. Messages are
-// levels of their own; a prompt without messages is cut at fixed sizes.
+// levels of their own, but for the last one, which is the question; a prompt
+// without messages is cut at fixed sizes.
 func (r Request) Levels() [][]byte {
 	if len(r.Messages) == 0 {
 		return cut([]byte(r.Prompt))
 	}
+	shared := r.Messages[:max(1, len(r.Messages)-1)]
 	levels := make([][]byte, 0, maxLevels)
-	for i, m := range r.Messages {
-		if i < maxLevels {
-			levels = append(levels, m)
-		}
+	for _, m := range shared[:min(len(shared), maxLevels)] {
+		levels = append(levels, m)
 	}
 	return levels
 }
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -23,6 +23,7 @@
 const (
 	DeploymentKey          = "key-of-the-first-organisation"
 	DeploymentOtherKey     = "key-of-the-second-organisation"
+	DeploymentThirdKey     = "key-of-the-third-organisation"
 	DeploymentModelRoute   = "lot-replies"
 	DeploymentServiceRoute = "filings"
 	DeploymentLookupRoute  = "lookups"
@@ -212,7 +213,7 @@
 	})
 }
 
-// Set returns a configuration for the deployment: two organisations, of which
+// Set returns a configuration for the deployment: three organisations, of which
 // the second may use the lookup route only; an idempotent model route, a model
 // route that is not, and plain services of both kinds.
 func (d *Deployment) Set() contract.Set {
@@ -243,6 +244,12 @@
 				Share:     1,
 				Routes:    []string{DeploymentLookupRoute},
 			},
+			{
+				Name:      "third",
+				KeyHashes: []string{contract.HashKey(DeploymentThirdKey)},
+				Share:     5,
+				Routes:    []string{DeploymentModelRoute, DeploymentLookupRoute},
+			},
 		},
 		ModelVersions: []contract.ModelVersion{{Name: "replies-v1", Model: "replies", WeightsVersion: DeploymentWeights}},
 		Pools: []contract.Pool{
