--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -42,7 +42,7 @@
 // fleet is some nodes in this process with a deployment around them.
 type fleet struct {
 	*standin.Deployment
-	t        *testing.T
+	t        testing.TB
 	nodes    []*testNode
 	injector *injector
 }
@@ -62,7 +62,7 @@
 	store  func(f *fleet) platform.Store
 }
 
-func newFleet(t *testing.T, opts fleetOptions) *fleet {
+func newFleet(t testing.TB, opts fleetOptions) *fleet {
 	t.Helper()
 	d, err := standin.NewDeployment(opts.dep)
 	if err != nil {
@@ -374,3 +374,12 @@
 		f.t.Fatal(err)
 	}
 }
+
+// newBenchFleet returns one node with the product's default limits.
+func newBenchFleet(b *testing.B, dep standin.DeploymentOptions) *fleet {
+	return newFleet(b, fleetOptions{dep: dep, adjust: func(_ int, s *settings.Settings) {
+		s.SilenceMS = settings.Default().SilenceMS
+		s.HeartbeatMS = settings.Default().HeartbeatMS
+		s.ProbeMS = settings.Default().ProbeMS
+	}})
+}
