internal/request: keep events as they came, parse them only on need

Cause: each event was parsed as JSON on its way to the caller, to have the text to go on from after an engine's crash.

Ruled out: writing and flushing (one system call per event, needed).

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -2,23 +2,54 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
+	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/stream"
 )
 
-// streamTimes reads a streamed completion and returns the time to its first
-// event and to its end.
-func streamTimes(b *testing.B, client *http.Client, address, body string) (first, whole time.Duration) {
+const benchTokens = 100
+
+// stampEngine streams events a millisecond apart, each with the time at which
+// it was written.
+func stampEngine(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engineapi.HeaderIncarnation, "stamp")
+	if r.URL.Path == "/health" {
+		_, _ = fmt.Fprint(w, `{"state":"live","incarnation":"stamp"}`)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", "text/event-stream")
+	attempt, _ := strconv.Atoi(r.Header.Get(engineapi.HeaderAttempt))
+	tag := stream.Tag{Request: r.Header.Get(engineapi.HeaderRequest), Attempt: attempt}
+	for tag.Index = 0; tag.Index < benchTokens; tag.Index++ {
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: {\"choices\":[{\"index\":0,\"text\":\"%d\"}]}\n\n", tag, time.Now().UnixNano())
+		w.(http.Flusher).Flush()
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = fmt.Fprintf(w, "id: %s\ndata: [DONE]\n\n", tag)
+}
+
+// streamTimes reads a stream of stampEngine and returns the time to its first
+// event, and how old each further event was when it arrived.
+func streamTimes(b *testing.B, client *http.Client, address string) (first time.Duration, ages []time.Duration) {
 	started := time.Now()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(completionBody(benchTokens, true)))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -34,11 +65,16 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if first == 0 && strings.HasPrefix(string(line), "data: ") {
-			first = time.Since(started)
-		}
-		if string(line) == "data: [DONE]\n" {
-			return first, time.Since(started)
+		now := time.Now()
+		text := openai.Text(bytes.TrimPrefix(line, []byte("data: ")))
+		switch at, err := strconv.ParseInt(text, 10, 64); {
+		case string(line) == "data: [DONE]\n":
+			return first, ages
+		case err != nil:
+		case first == 0:
+			first = now.Sub(started)
+		default:
+			ages = append(ages, now.Sub(time.Unix(0, at)))
 		}
 	}
 }
@@ -49,28 +85,38 @@
 }
 
 // BenchmarkAddedTime compares a request through the router with the same
-// request to the engine, turn by turn: added microseconds to the first event,
-// and added microseconds per event of the rest.
+// request to the engine, turn by turn: microseconds to the first event, and
+// microseconds from an event's writing to its arrival.
 func BenchmarkAddedTime(b *testing.B) {
-	const tokens = 200
+	engine := httptest.NewServer(http.HandlerFunc(stampEngine))
+	defer engine.Close()
 	f := newBenchFleet(b, standin.DeploymentOptions{Engines: 1})
+	set := f.Set()
+	set.Pools[0].Upstreams[0].Address = engine.Listener.Addr().String()
+	raw, err := json.Marshal(set)
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.apply(raw)
+	f.eventually("the engine is live", func() bool { return f.sees(f.nodes[0], 1) })
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	body := completionBody(tokens, true)
-	var directFirst, routedFirst, directRest, routedRest []time.Duration
+	var directFirst, routedFirst, directAges, routedAges []time.Duration
 	for b.Loop() {
-		first, whole := streamTimes(b, client, f.EngineAddress(0), body)
+		first, ages := streamTimes(b, client, engine.Listener.Addr().String())
 		directFirst = append(directFirst, first)
-		directRest = append(directRest, (whole-first)/tokens)
-		first, whole = streamTimes(b, client, f.nodes[0].settings.Listen, body)
+		directAges = append(directAges, ages...)
+		first, ages = streamTimes(b, client, f.nodes[0].settings.Listen)
 		routedFirst = append(routedFirst, first)
-		routedRest = append(routedRest, (whole-first)/tokens)
+		routedAges = append(routedAges, ages...)
 	}
 	for name, share := range map[string]float64{"p50": 0.5, "p99": 0.99} {
 		b.ReportMetric(percentile(directFirst, share), "direct_first_us_"+name)
 		b.ReportMetric(percentile(routedFirst, share), "routed_first_us_"+name)
 		b.ReportMetric(percentile(routedFirst, share)-percentile(directFirst, share), "added_first_us_"+name)
 		b.ReportMetric(percentile(routedFirst, share)/percentile(directFirst, share), "ratio_first_"+name)
-		b.ReportMetric(percentile(routedRest, share)-percentile(directRest, share), "added_event_us_"+name)
+		b.ReportMetric(percentile(directAges, share), "direct_event_us_"+name)
+		b.ReportMetric(percentile(routedAges, share), "routed_event_us_"+name)
+		b.ReportMetric(percentile(routedAges, share)-percentile(directAges, share), "added_event_us_"+name)
 	}
 }
 
--- a/internal/request/sink.go
+++ b/internal/request/sink.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
@@ -14,6 +13,9 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
+// maxKeptBytes bounds what a stream keeps to go on from elsewhere.
+const maxKeptBytes = 256 << 10
+
 // sink takes the events of a model's answer, in order and each once.
 type sink interface {
 	// begun reports whether the caller has seen any of the answer.
@@ -36,29 +38,39 @@
 	j      *job
 	writer *stream.Writer
 	open   bool
-	keep   bool
-	words  strings.Builder
+	// kept is what an answer goes on from elsewhere, if the pool allows that.
+	kept *transcript
 	// record keeps the answer of a claimed request for the ledger.
 	record bytes.Buffer
 }
 
 func newStreamSink(j *job) *streamSink {
 	writer := stream.NewWriter(j.w, stream.WriterOptions{WriteTimeout: j.h.callerTimeout()})
-	return &streamSink{j: j, writer: writer, keep: j.pool.ContinuesAnswers}
+	s := &streamSink{j: j, writer: writer}
+	if j.pool.ContinuesAnswers {
+		s.kept = &transcript{limit: maxKeptBytes}
+	}
+	return s
 }
 
 func (s *streamSink) begun() bool       { return s.open }
 func (s *streamSink) restartable() bool { return !s.open }
 func (s *streamSink) restart()          {}
-func (s *streamSink) text() string      { return s.words.String() }
+
+func (s *streamSink) text() string {
+	if s.kept == nil {
+		return ""
+	}
+	return s.kept.text()
+}
 
 func (s *streamSink) event(now time.Time, data []byte) error {
 	if !s.open {
 		s.writer.WriteHeader(http.StatusOK)
 		s.open = true
 	}
-	if s.keep {
-		s.words.WriteString(openai.Text(data))
+	if s.kept != nil {
+		s.kept.add(data)
 	}
 	return s.write(now, data)
 }
@@ -121,46 +133,31 @@
 
 // wholeSink joins the events into one answer.
 type wholeSink struct {
-	j     *job
-	chat  bool
-	parts *openai.Assembler
-	words strings.Builder
-	size  int64
-	sent  bool
+	j    *job
+	chat bool
+	kept transcript
+	sent bool
 }
 
-func newWholeSink(j *job, chat bool) *wholeSink {
-	return &wholeSink{j: j, chat: chat, parts: openai.NewAssembler(chat)}
-}
+func newWholeSink(j *job, chat bool) *wholeSink { return &wholeSink{j: j, chat: chat} }
 
 func (s *wholeSink) begun() bool       { return s.sent }
 func (s *wholeSink) restartable() bool { return !s.sent }
-func (s *wholeSink) text() string      { return s.words.String() }
+func (s *wholeSink) restart()          { s.kept.reset() }
+func (s *wholeSink) text() string      { return s.kept.text() }
 func (s *wholeSink) flush() error      { return nil }
 func (s *wholeSink) fail(error)        {}
 
-func (s *wholeSink) restart() {
-	s.parts = openai.NewAssembler(s.chat)
-	s.words.Reset()
-	s.size = 0
-}
-
 func (s *wholeSink) event(_ time.Time, data []byte) error {
-	s.size += int64(len(data))
-	if s.size > s.j.h.opts.MaxAnswerBytes {
+	s.kept.add(data)
+	if int64(len(s.kept.raw)) > s.j.h.opts.MaxAnswerBytes {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "answer_too_large", "the upstream's answer is too large")
 	}
-	if s.j.pool.ContinuesAnswers {
-		s.words.WriteString(openai.Text(data))
-	}
-	if err := s.parts.Add(data); err != nil {
-		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "bad_chunk", "the upstream sent a chunk that is not JSON").WithCause(err)
-	}
 	return nil
 }
 
 func (s *wholeSink) end(time.Time) error {
-	body, err := s.parts.Answer()
+	body, err := s.kept.whole(s.chat)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "bad_answer", "the upstream's answer can't be joined").WithCause(err)
 	}
