internal/membership: nodes behind a cut find one another again; tests of spreading

Cause: after a cut both sides hold each other for dead and send no heartbeat to the dead, so a cut that isolates a node never healed by itself. Found by the test "paused node that wakes refutes its death", which needed a join by hand.

Now each fifth heartbeat also calls one dead member, and the nodes that read the list of VMs call those on it that they don't know, for cuts longer than the dead are remembered.

--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -15,7 +15,9 @@
 	defaultPushPeriod   = 50 * time.Millisecond
 	relayCount          = 2
 	pushCount           = 3
-	syncEvery           = 60
+	// syncEvery and deadEvery are numbers of heartbeats.
+	syncEvery = 60
+	deadEvery = 5
 )
 
 // Transport carries messages between nodes. Its implementations are safe for
@@ -81,6 +83,10 @@
 
 func (a *Agent) synchronize(ctx context.Context, address string) bool {
 	const timeout = 2 * time.Second
+	return a.synchronizeWithin(ctx, address, timeout)
+}
+
+func (a *Agent) synchronizeWithin(ctx context.Context, address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := a.transport.Synchronize(ctx, address, a.table.Everything())
@@ -106,6 +112,9 @@
 			return
 		}
 		a.table.Expire(a.opts.Now())
+		if round%deadEvery == 0 {
+			a.tryDead(ctx)
+		}
 		target, found := a.table.NextProbe()
 		if !found {
 			continue
@@ -117,6 +126,14 @@
 	}
 }
 
+// tryDead calls one dead member: after a cut both sides hold the other for
+// dead, and neither would send it a heartbeat again.
+func (a *Agent) tryDead(ctx context.Context) {
+	if m, found := a.table.randomDead(); found {
+		a.synchronizeWithin(ctx, m.GetControlAddress(), a.opts.ProbeTimeout)
+	}
+}
+
 func (a *Agent) probe(ctx context.Context, target *peerrpc.Member) {
 	if a.exchange(ctx, target) == nil {
 		a.table.Reached(target.GetName())
--- /dev/null
+++ b/internal/membership/spread_test.go
@@ -0,0 +1,344 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/membership"
+	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
+	"github.com/hibiscuscove/hibiscuscove/internal/publication"
+)
+
+// httpBytes is about what HTTP adds to a call and its answer.
+const httpBytes = 450
+
+// network joins nodes in memory and counts what they send.
+type network struct {
+	mu    sync.RWMutex
+	nodes map[string]*testNode
+	// cut holds pairs "from>to" that lose every message.
+	cut   map[string]bool
+	bytes atomic.Int64
+	calls atomic.Int64
+}
+
+type testNode struct {
+	name    string
+	network *network
+	table   *membership.Table
+	agent   *membership.Agent
+	holder  *publication.Holder
+	inForce atomic.Int64
+	stop    context.CancelFunc
+}
+
+var errLost = errors.New("lost")
+
+func (n *network) reach(from, to string) (*testNode, error) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	node := n.nodes[to]
+	if node == nil || n.cut[from+">"+to] || n.cut[to+">"+from] {
+		return nil, errLost
+	}
+	return node, nil
+}
+
+func (n *network) count(messages ...proto.Message) {
+	n.calls.Add(1)
+	n.bytes.Add(httpBytes)
+	for _, m := range messages {
+		n.bytes.Add(int64(proto.Size(m)))
+	}
+}
+
+type transport struct {
+	self *testNode
+}
+
+func (t transport) Exchange(_ context.Context, to *peerrpc.Member, g *peerrpc.Gossip) (*peerrpc.Gossip, error) {
+	peer, err := t.self.network.reach(t.self.name, to.GetName())
+	if err != nil {
+		return nil, err
+	}
+	reply := peer.agent.HandleExchange(g)
+	t.self.network.count(g, reply)
+	return reply, nil
+}
+
+func (t transport) Relay(ctx context.Context, via *peerrpc.Member, target string) (bool, error) {
+	peer, err := t.self.network.reach(t.self.name, via.GetName())
+	if err != nil {
+		return false, err
+	}
+	t.self.network.count()
+	return peer.agent.HandleRelay(ctx, target), nil
+}
+
+func (t transport) Synchronize(_ context.Context, address string, g *peerrpc.Gossip) (*peerrpc.Gossip, error) {
+	peer, err := t.self.network.reach(t.self.name, address)
+	if err != nil {
+		return nil, err
+	}
+	reply := peer.agent.HandleSynchronize(g)
+	t.self.network.count(g, reply)
+	return reply, nil
+}
+
+func (n *network) start(name string, incarnation uint64, period time.Duration) *testNode {
+	node := &testNode{name: name, network: n, holder: publication.NewHolder()}
+	self := &peerrpc.Member{Name: name, Address: "10.0.0.1:8001", ControlAddress: name, DataCentre: "dc-1", Incarnation: incarnation}
+	node.table = membership.NewTable(self, membership.TableOptions{Suspicion: 2 * period})
+	node.table.Serve()
+	node.holder.OnChange(func(s publication.State) {
+		node.inForce.Store(time.Now().UnixNano())
+		node.table.SetGeneration(s.Document.Generation)
+	})
+	node.agent = membership.NewAgent(node.table, transport{node}, membership.AgentOptions{
+		Now:          time.Now,
+		Period:       period,
+		OnGeneration: func(from *peerrpc.Member, _ uint64) { node.fetch(from.GetName()) },
+	})
+	n.mu.Lock()
+	n.nodes[name] = node
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	node.stop = cancel
+	go node.agent.Run(ctx)
+	return node
+}
+
+// fetch takes what has changed from a peer.
+func (t *testNode) fetch(from string) {
+	peer, err := t.network.reach(t.name, from)
+	if err != nil {
+		return
+	}
+	state := peer.holder.Current()
+	delta := state.Document.Since(t.holder.Generation())
+	raw, _ := json.Marshal(delta)
+	t.network.count()
+	t.network.bytes.Add(int64(len(raw)))
+	_, _ = t.holder.OfferDelta(delta, state.Digest)
+}
+
+func newNetwork(nodes int, period time.Duration) (*network, []*testNode) {
+	n := &network{nodes: make(map[string]*testNode), cut: make(map[string]bool)}
+	var list []*testNode
+	for i := range nodes {
+		node := n.start(fmt.Sprintf("node-%03d", i), 1, period)
+		if i > 0 {
+			node.agent.Join(context.Background(), []string{list[0].name, list[i/2].name})
+		}
+		list = append(list, node)
+	}
+	return n, list
+}
+
+func (n *network) stopAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, node := range n.nodes {
+		node.stop()
+	}
+}
+
+// kill takes a node away without a word.
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[name].stop()
+	delete(n.nodes, name)
+}
+
+func eventually(t testing.TB, what string, condition func() bool) time.Duration {
+	t.Helper()
+	const patience = 30 * time.Second
+	started := time.Now()
+	for !condition() {
+		if time.Since(started) > patience {
+			t.Fatalf("not within %s: %s", patience, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func serves(list []*testNode, want int) bool {
+	for _, node := range list {
+		if len(node.table.Serving()) != want {
+			return false
+		}
+	}
+	return true
+}
+
+// document returns a configuration of n organisations.
+func document(n int) contract.Document {
+	var change contract.Change
+	for i := range n {
+		o := contract.Organisation{Name: fmt.Sprintf("organisation-%d", i), Share: 1, KeyHashes: []string{contract.HashKey(fmt.Sprint("key ", i))}}
+		raw, _ := json.Marshal(o)
+		change.Upserts = append(change.Upserts, contract.Object{Kind: contract.KindOrganisation, Name: o.Name, Spec: raw})
+	}
+	d, _ := contract.Document{}.WithChange(change)
+	return d
+}
+
+func changed(d contract.Document, share int) contract.Document {
+	o := contract.Organisation{Name: "organisation-0", Share: share, KeyHashes: []string{contract.HashKey("key 0")}}
+	raw, _ := json.Marshal(o)
+	next, _ := d.WithChange(contract.Change{Upserts: []contract.Object{{Kind: contract.KindOrganisation, Name: o.Name, Spec: raw}}})
+	return next
+}
+
+// TestMembership lets nodes die, leave, come back and be cut off.
+func TestMembership(t *testing.T) {
+	const nodes, period = 9, 50 * time.Millisecond
+	tests := map[string]func(t *testing.T, n *network, list []*testNode){
+		"killed node is not handed out": func(t *testing.T, n *network, list []*testNode) {
+			n.kill(list[3].name)
+			took := eventually(t, "the others drop it", func() bool { return serves(append(slices.Clone(list[:3]), list[4:]...), nodes-1) })
+			t.Logf("dropped after %s", took)
+		},
+		"leaving node is not handed out": func(t *testing.T, _ *network, list []*testNode) {
+			list[3].table.Leave()
+			eventually(t, "all drop it", func() bool { return serves(list, nodes-1) })
+		},
+		"node comes back in a new incarnation": func(t *testing.T, n *network, list []*testNode) {
+			n.kill(list[3].name)
+			eventually(t, "the others drop it", func() bool { return serves(list[:3], nodes-1) })
+			list[3] = n.start(list[3].name, 2, period)
+			list[3].agent.Join(context.Background(), []string{list[0].name})
+			eventually(t, "all have it again", func() bool { return serves(list, nodes) })
+			if !list[0].table.Live(list[3].name, 2) || list[0].table.Live(list[3].name, 1) {
+				t.Error("the old incarnation counts as live")
+			}
+		},
+		"one cut link kills nobody": func(t *testing.T, n *network, list []*testNode) {
+			n.mu.Lock()
+			n.cut[list[0].name+">"+list[1].name] = true
+			n.mu.Unlock()
+			time.Sleep(20 * period)
+			if !serves(list, nodes) {
+				t.Error("a node behind one cut link was dropped")
+			}
+		},
+		"paused node that wakes refutes its death": func(t *testing.T, n *network, list []*testNode) {
+			n.mu.Lock()
+			for _, other := range list {
+				n.cut[list[3].name+">"+other.name] = true
+			}
+			n.mu.Unlock()
+			eventually(t, "the others drop it", func() bool { return serves(list[:3], nodes-1) })
+			n.mu.Lock()
+			n.cut = make(map[string]bool)
+			n.mu.Unlock()
+			eventually(t, "all have it again", func() bool { return serves(list, nodes) })
+		},
+		"configuration reaches all and never reverts": func(t *testing.T, _ *network, list []*testNode) {
+			d := document(20)
+			for share := 2; share < 12; share++ {
+				d = changed(d, share)
+				if _, err := list[share%nodes].holder.Offer(d); err != nil {
+					t.Fatal(err)
+				}
+			}
+			eventually(t, "all have it in force", func() bool {
+				return !slices.ContainsFunc(list, func(n *testNode) bool { return n.holder.Generation() != d.Generation })
+			})
+			old := document(20)
+			for _, n := range list {
+				if taken, _ := n.holder.Offer(old); taken {
+					t.Error("a node went back to an old generation")
+				}
+			}
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n, list := newNetwork(nodes, period)
+			defer n.stopAll()
+			eventually(t, "all see all", func() bool { return serves(list, nodes) })
+			run(t, n, list)
+		})
+	}
+}
+
+// TestSpreadToHundreds publishes a change to one of some hundred nodes. The
+// bound is the users' 14 s.
+func TestSpreadToHundreds(t *testing.T) {
+	const nodes = 200
+	n, list := newNetwork(nodes, time.Second)
+	defer n.stopAll()
+	eventually(t, "all see all", func() bool { return serves(list, nodes) })
+	times := spread(t, list, document(100))
+	t.Logf("p50 %s, p99 %s, max %s", times[nodes/2], times[nodes*99/100], times[nodes-1])
+	if last := times[nodes-1]; last > 14*time.Second {
+		t.Errorf("in force everywhere after %s", last)
+	}
+}
+
+// spread offers a document to the first node and returns the sorted times
+// until it was in force on each.
+func spread(t testing.TB, list []*testNode, d contract.Document) []time.Duration {
+	started := time.Now()
+	if _, err := list[0].holder.Offer(d); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "all have it in force", func() bool {
+		return !slices.ContainsFunc(list, func(n *testNode) bool { return n.holder.Generation() != d.Generation })
+	})
+	var times []time.Duration
+	for _, n := range list {
+		times = append(times, time.Unix(0, n.inForce.Load()).Sub(started))
+	}
+	slices.Sort(times)
+	return times
+}
+
+// BenchmarkSlopeSpread reports, against the number of nodes, the time until a
+// change is in force everywhere, and what a node sends when nothing changes
+// and for one change.
+func BenchmarkSlopeSpread(b *testing.B) {
+	for _, nodes := range []int{9, 50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			n, list := newNetwork(nodes, time.Second)
+			defer n.stopAll()
+			eventually(b, "all see all", func() bool { return serves(list, nodes) })
+			time.Sleep(8 * time.Second)
+			d := document(100)
+			_ = spread(b, list, d)
+			var idle, perChange float64
+			var p50, p99, most time.Duration
+			for b.Loop() {
+				time.Sleep(3 * time.Second)
+				before, started := n.bytes.Load(), time.Now()
+				time.Sleep(5 * time.Second)
+				idle = float64(n.bytes.Load()-before) / time.Since(started).Seconds() / float64(nodes)
+				d = changed(d, 2+int(d.Generation)%900)
+				before, started = n.bytes.Load(), time.Now()
+				times := spread(b, list, d)
+				time.Sleep(time.Second)
+				perChange = float64(n.bytes.Load()-before)/float64(nodes) - idle*time.Since(started).Seconds()
+				p50, p99, most = times[nodes/2], times[nodes*99/100], times[nodes-1]
+			}
+			b.ReportMetric(idle, "idle_B/s/node")
+			b.ReportMetric(perChange, "B/change/node")
+			b.ReportMetric(p50.Seconds()*1e3, "in_force_p50_ms")
+			b.ReportMetric(p99.Seconds()*1e3, "in_force_p99_ms")
+			b.ReportMetric(most.Seconds()*1e3, "in_force_max_ms")
+		})
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -473,6 +473,21 @@
 	return known && r.member.GetState() != dead && r.member.GetIncarnation() == incarnation
 }
 
+func (t *Table) randomDead() (*peerrpc.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*peerrpc.Member
+	for _, r := range t.members {
+		if r.member.GetState() == dead {
+			list = append(list, r.member)
+		}
+	}
+	if len(list) == 0 {
+		return nil, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
 // Random returns up to n random members that are not dead, without this node
 // and the one named.
 func (t *Table) Random(n int, without string) []*peerrpc.Member {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -293,9 +294,24 @@
 				n.noteVM(v)
 			}
 		}
+		n.joinStrangers(ctx, list)
 	}
 }
 
+// joinStrangers calls a node that is on the list but not known here: a cut
+// that lasts longer than dead members are remembered leaves two fleets.
+func (n *Node) joinStrangers(ctx context.Context, list []vm.VM) {
+	known := make(map[string]bool)
+	for _, m := range n.members.Reachable() {
+		known[m.GetControlAddress()] = true
+	}
+	strangers := slices.DeleteFunc(entryAddresses(list), func(a string) bool { return known[a] })
+	if len(strangers) == 0 {
+		return
+	}
+	n.agent.Join(ctx, []string{strangers[rand.IntN(len(strangers))]})
+}
+
 func (n *Node) noteVM(v vm.VM) {
 	n.mu.Lock()
 	before := n.gone[v.Address]
