--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,161 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/limit"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestBudget(t *testing.T) {
+	tests := map[string]struct {
+		deposits int
+		elapsed  time.Duration
+		want     int
+	}{
+		"new name":          {0, 0, 3},
+		"by first attempts": {100, 0, 10},
+		"bounded":           {1000, 0, 10},
+		"by time":           {0, time.Minute, 9},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := limit.NewBudget(limit.BudgetOptions{})
+			for range 3 {
+				if !b.Withdraw(start, "x") {
+					t.Fatal("the first retries are not allowed")
+				}
+			}
+			b = limit.NewBudget(limit.BudgetOptions{})
+			b.Deposit(start, "x")
+			for range max(0, tt.deposits-1) {
+				b.Deposit(start, "x")
+			}
+			got := 0
+			for b.Withdraw(start.Add(tt.elapsed), "x") {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("%d retries, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestFairShare overloads a gate with a large organisation and small ones, and
+// counts who gets in. Each must get at least 90 % of its share.
+func TestFairShare(t *testing.T) {
+	shares := map[string]int{"large": 30, "middle": 20, "small-1": 5, "small-2": 5}
+	g := limit.NewGate(limit.GateOptions{Capacity: 4, Queue: 400})
+	served := make(map[string]int)
+	var inside []*limit.Ticket
+	waiting := make(map[string][]*limit.Ticket)
+	total := 0
+	for name, share := range shares {
+		total += share
+		for len(waiting[name]) < 80 {
+			ticket, err := g.Enter(start, limit.Entrant{Organisation: name, Share: share, Level: 3})
+			if err != nil {
+				t.Fatal(err)
+			}
+			waiting[name] = append(waiting[name], ticket)
+		}
+	}
+	const rounds = 1200
+	for range rounds {
+		for name, list := range waiting {
+			for i, ticket := range list {
+				select {
+				case <-ticket.Admitted():
+					inside = append(inside, ticket)
+					served[name]++
+					again, err := g.Enter(start, limit.Entrant{Organisation: name, Share: shares[name], Level: 3})
+					if err != nil {
+						t.Fatal(err)
+					}
+					list[i] = again
+				default:
+				}
+			}
+		}
+		if len(inside) == 0 {
+			t.Fatal("nobody is inside")
+		}
+		inside[0].Leave()
+		inside = inside[1:]
+	}
+	all := 0
+	for _, n := range served {
+		all += n
+	}
+	for name, share := range shares {
+		fair := float64(all) * float64(share) / float64(total)
+		if float64(served[name]) < 0.9*fair {
+			t.Errorf("%s was served %d times, its share is %.0f", name, served[name], fair)
+		}
+	}
+}
+
+func TestPriority(t *testing.T) {
+	g := limit.NewGate(limit.GateOptions{Capacity: 1, Queue: 10})
+	first, err := g.Enter(start, limit.Entrant{Organisation: "a", Share: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pending := make(map[int]*limit.Ticket)
+	for i, level := range []int{9, 3, 0, 3} {
+		pending[i], err = g.Enter(start, limit.Entrant{Organisation: "a", Share: 1, Level: level})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	first.Leave()
+	var order []int
+	for len(pending) > 0 {
+		for i, ticket := range pending {
+			select {
+			case <-ticket.Admitted():
+				order = append(order, i)
+				delete(pending, i)
+				ticket.Leave()
+			default:
+			}
+		}
+	}
+	if diff := cmp.Diff([]int{2, 1, 3, 0}, order); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		opts    limit.GateOptions
+		entrant limit.Entrant
+		before  int
+		want    string
+	}{
+		"queue full":         {limit.GateOptions{Capacity: 1, Queue: 2}, limit.Entrant{Organisation: "a"}, 3, "queue_full"},
+		"organisation limit": {limit.GateOptions{Capacity: 9}, limit.Entrant{Organisation: "a", MaxInFlight: 2}, 2, "organisation_limit"},
+		"deadline":           {limit.GateOptions{}, limit.Entrant{Organisation: "a", Deadline: start}, 0, "deadline_passed"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := limit.NewGate(tt.opts)
+			for range tt.before {
+				if _, err := g.Enter(start, tt.entrant); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, err := g.Enter(start, tt.entrant)
+			e := verdict.As(err)
+			if e.Code != tt.want || e.Verdict != verdict.NotRun || e.RetryAfter <= 0 {
+				t.Errorf("got %v, Retry-After %s", err, e.RetryAfter)
+			}
+		})
+	}
+}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// TestDataCentreDies crashes all engines of a data centre at once under load.
-// Nothing is quarantined by it.
+// TestDataCentreDies crashes all engines of a data centre within half a second
+// under load. Nothing is quarantined by it.
 func TestDataCentreDies(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetOptions{nodes: 2, dep: standin.DeploymentOptions{
@@ -99,15 +99,17 @@
 		Engine:      standin.EngineOptions{TokenTime: 20 * time.Millisecond},
 	}})
 	var wg sync.WaitGroup
-	bodies := make([]string, 24)
+	bodies := make([]string, 40)
 	for i := range bodies {
 		bodies[i] = fmt.Sprintf(`{"model":%q,"prompt":"lot %d","max_tokens":30,"stream":true}`, standin.DeploymentModelRoute, i)
 		wg.Go(func() { f.completeBody(f.nodes[i%2], bodies[i]) })
 	}
 	time.Sleep(200 * time.Millisecond)
+	// One after another, so that requests move to engines that die next.
 	for i, e := range f.Engines {
 		if i%2 == 0 {
 			e.Crash()
+			time.Sleep(120 * time.Millisecond)
 		}
 	}
 	wg.Wait()
--- a/internal/node/service_test.go
+++ b/internal/node/service_test.go
@@ -35,6 +35,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, fleetOptions{nodes: 2, dep: standin.DeploymentOptions{Services: 2, FirstByteTimeout: 500 * time.Millisecond}})
+			// Connections that have carried a request before may be reused.
+			for range 8 {
+				f.file(f.nodes[0], newKey(), "earlier filing")
+			}
 			for _, s := range f.Services {
 				s.SetFault(tt.fault)
 			}
--- /dev/null
+++ b/internal/openai/openai_test.go
@@ -0,0 +1,109 @@
+package openai_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/openai"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+)
+
+func TestLevels(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		want []int
+	}{
+		"short prompt":        {`{"model":"m","prompt":"abc"}`, []int{3}},
+		"long prompt":         {`{"model":"m","prompt":"` + text(9000) + `"}`, []int{2048, 6144}},
+		"question alone":      {`{"model":"m","messages":["abc"]}`, []int{5}},
+		"messages":            {`{"model":"m","messages":["a","bb","question"]}`, []int{3, 4}},
+		"many messages":       {`{"model":"m","messages":["a","b","c","d","e","f"]}`, []int{3, 3, 3, 3}},
+		"prompt of token IDs": {`{"model":"m","prompt":[1,2]}`, []int{5}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, err := openai.Parse([]byte(tt.body), openai.Bounds{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []int
+			for _, level := range r.Levels() {
+				got = append(got, len(level))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("sizes of levels (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func text(n int) string {
+	raw := make([]byte, n)
+	for i := range raw {
+		raw[i] = 'a' + byte(i%26)
+	}
+	return string(raw)
+}
+
+func TestAssembler(t *testing.T) {
+	chunks := []string{
+		`{"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"role":"assistant","content":"one "},"finish_reason":null}]}`,
+		`{"id":"x","choices":[{"index":1,"delta":{"content":"other"}}]}`,
+		`{"id":"x","choices":[{"index":0,"delta":{"content":"two","tool_calls":[{"index":0,"function":{"name":"f","arguments":"{\"a\""}}]}}]}`,
+		`{"id":"x","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"stop"}]}`,
+		`{"id":"x","choices":[],"usage":{"total_tokens":7}}`,
+	}
+	a := openai.NewAssembler(true)
+	for _, c := range chunks {
+		if err := a.Add([]byte(c)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, err := a.Answer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = `{"id":"x","object":"chat.completion","choices":[
+		{"index":0,"finish_reason":"stop","message":{"role":"assistant","content":"one two","tool_calls":[{"index":0,"function":{"name":"f","arguments":"{\"a\":1}"}}]}},
+		{"index":1,"message":{"content":"other"}}],"usage":{"total_tokens":7}}`
+	var wantValue, gotValue any
+	_ = json.Unmarshal([]byte(want), &wantValue)
+	_ = json.Unmarshal(raw, &gotValue)
+	if diff := cmp.Diff(wantValue, gotValue); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","prompt":"x","stream":true}`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"n":2}`,
+		`{"model":7}`, `{"model":"m","prompt":{}}`, `[[[[`, `{"model":"m","n":-1}`, `null`, ``, `{"model":"m","prompt":null}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := openai.Parse(body, openai.Bounds{MaxBodyBytes: 1 << 16, MaxDepth: 16})
+		if err != nil {
+			if verdict.Of(err) != verdict.NotRun {
+				t.Errorf("the refusal %v has the verdict %s", err, verdict.Of(err))
+			}
+			return
+		}
+		if r.Model == "" || r.Choices < 1 {
+			t.Errorf("accepted %q as %+v", body, r)
+		}
+		total := 0
+		for _, level := range r.Levels() {
+			total += len(level)
+		}
+		if total > len(body) {
+			t.Errorf("levels of %d bytes from a body of %d", total, len(body))
+		}
+		if _, err := openai.Streamed(body); err != nil {
+			t.Errorf("an accepted body can't be streamed: %v", err)
+		}
+	})
+}
