--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -117,13 +117,21 @@
 		e.Restart()
 	}
 	f.eventually("all engines are live again", func() bool { return f.sees(f.nodes[0], 2) && f.sees(f.nodes[1], 2) })
+	failures := make(chan error, 2*len(bodies))
 	for i, body := range bodies {
 		for _, n := range f.nodes {
-			if c := f.completeBody(n, body); !c.done {
-				t.Errorf("request %d after the data centre's death: %v", i, c.errors)
-			}
+			wg.Go(func() {
+				if c := f.completeBody(n, body); !c.done {
+					failures <- fmt.Errorf("request %d: %v", i, c.errors)
+				}
+			})
 		}
 	}
+	wg.Wait()
+	close(failures)
+	for err := range failures {
+		t.Errorf("after the data centre's death: %v", err)
+	}
 	for _, n := range f.nodes {
 		if got := f.status(n).Quarantined; got != 0 {
 			t.Errorf("%s has %d requests in quarantine", n.settings.Name, got)
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/prefix"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
+	"github.com/hibiscuscove/hibiscuscove/internal/route"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -53,9 +53,9 @@
 	j.died = false
 	j.tried[candidate.Name] = true
 	j.h.metrics.attempts.Inc(1)
-	done := j.h.opts.Upstreams.Begin(candidate.Name)
-	defer done()
-	a := &attempt{job: j, candidate: candidate, call: j.call(), incarnation: candidate.Incarnation}
+	stay := j.h.opts.Upstreams.Begin(candidate.Name)
+	defer stay.End()
+	a := &attempt{job: j, candidate: candidate, stay: stay, call: j.call(), incarnation: candidate.Incarnation}
 	j.attempt++
 	if j.sink == nil {
 		err = a.whole(ctx)
@@ -130,16 +130,16 @@
 
 // pick chooses an upstream that has not been tried while there is one, has
 // the right weights and passes the further condition.
-func (j *job) pick(chain prefix.Chain, excluded func(upstream.Candidate) bool) (upstream.Candidate, error) {
+func (j *job) pick(want route.Request, excluded func(upstream.Candidate) bool) (upstream.Candidate, error) {
 	candidates := j.h.opts.Upstreams.Candidates(j.h.opts.Now(), j.pool.Name)
 	unusable := func(c upstream.Candidate) bool {
 		return j.otherWeights(c) || excluded != nil && excluded(c)
 	}
-	c, found := j.h.opts.Picker.Pick(chain, candidates, func(c upstream.Candidate) bool {
+	c, found := j.h.opts.Picker.Pick(want, candidates, func(c upstream.Candidate) bool {
 		return j.tried[c.Name] || unusable(c)
 	})
 	if !found {
-		c, found = j.h.opts.Picker.Pick(chain, candidates, unusable)
+		c, found = j.h.opts.Picker.Pick(want, candidates, unusable)
 	}
 	if !found {
 		return upstream.Candidate{}, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_upstream",
@@ -156,6 +156,7 @@
 type attempt struct {
 	*job
 	candidate   upstream.Candidate
+	stay        *upstream.Stay
 	call        upstream.Call
 	incarnation string
 	// sent says that the upstream may have the request.
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -168,7 +168,10 @@
 		}
 		if sequencer.Next() > before {
 			a.progress = now
-			a.arrived = true
+			if !a.arrived {
+				a.arrived = true
+				a.stay.Answered()
+			}
 			watchdog.Reset(a.silence())
 		}
 		if reader.Buffered() == 0 {
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/prefix"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
+	"github.com/hibiscuscove/hibiscuscove/internal/route"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -25,6 +26,9 @@
 // ReplayedHeader marks an answer that comes from the ledger.
 const ReplayedHeader = "Hibiscuscove-Replayed"
 
+// bytesPerToken is about how much text a token holds.
+const bytesPerToken = 4
+
 var (
 	errCallerGone = errors.New("request: the caller has gone")
 	errSilent     = errors.New("request: the upstream is silent")
@@ -46,7 +50,7 @@
 	level        int
 	path         string
 	body         []byte
-	chain        prefix.Chain
+	placement    route.Request
 	fingerprint  string
 	grant        *ledger.Grant
 	// sink takes the events of a model's answer. It is nil for plain services.
@@ -92,7 +96,11 @@
 	version, _ := c.ModelVersion(j.pool.ModelVersion)
 	j.weights = version.WeightsVersion
 	salt := prefix.Salt{Organisation: j.organisation.Name, Model: version.Model, WeightsVersion: version.WeightsVersion}
-	j.chain = prefix.NewChain(salt, parsed.Levels())
+	levels := parsed.Levels()
+	j.placement.Chain = prefix.NewChain(salt, levels)
+	for _, level := range levels {
+		j.placement.Sizes = append(j.placement.Sizes, len(level)/bytesPerToken)
+	}
 	j.fingerprint = quarantine.Fingerprint(j.organisation.Name, j.route.Name+" "+j.path, j.body)
 	chat := j.path == "/v1/chat/completions"
 	if parsed.Stream {
--- a/internal/request/trial.go
+++ b/internal/request/trial.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/prefix"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
+	"github.com/hibiscuscove/hibiscuscove/internal/route"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -34,7 +34,7 @@
 		}
 		return j.awaitTrial(ctx)
 	default:
-		return j.pick(j.chain, nil)
+		return j.pick(j.placement, nil)
 	}
 }
 
@@ -61,7 +61,7 @@
 // begun, and keeps trials off it while the attempt lasts.
 func (j *job) pickApart() (upstream.Candidate, error) {
 	for {
-		c, err := j.pick(prefix.Chain{}, j.trialElsewhere)
+		c, err := j.pick(route.Request{}, j.trialElsewhere)
 		if err != nil {
 			return c, err
 		}
@@ -95,7 +95,7 @@
 	book := j.h.opts.Quarantine
 	taken := make(map[string]bool)
 	for range trialTries {
-		c, err := j.pick(prefix.Chain{}, func(c upstream.Candidate) bool { return taken[c.Name] || !j.freeForTrial(c) })
+		c, err := j.pick(route.Request{}, func(c upstream.Candidate) bool { return taken[c.Name] || !j.freeForTrial(c) })
 		if err != nil {
 			return c, err
 		}
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/prefix"
 )
 
 const (
@@ -24,8 +25,20 @@
 	WeightsVersion string
 	// Load is the number of requests known to be on the upstream.
 	Load int
+	// Queued is the number of those that wait for their first token.
+	Queued int
 	// Slots is how many it works on at a time.
 	Slots int
+	// NameHash is the hash of the name. Zero stands for one not computed yet.
+	NameHash uint64
+}
+
+// Hash returns the hash of the candidate's name.
+func (c *Candidate) Hash() uint64 {
+	if c.NameHash != 0 {
+		return c.NameHash
+	}
+	return prefix.Hash(c.Name)
 }
 
 // Running is one request that this node has on an upstream.
@@ -47,12 +60,14 @@
 	upstream contract.Upstream
 	pool     string
 	slots    int
+	hash     uint64
 	reports  map[string]observation
 	merged   Report
 	at       time.Time
 	avoid    time.Time
 	gone     bool
 	inFlight atomic.Int64
+	waiting  atomic.Int64
 }
 
 type observation struct {
@@ -94,6 +109,7 @@
 			e.upstream = u
 			e.pool = pool.Name
 			e.slots = pool.Slots
+			e.hash = prefix.Hash(u.Name)
 			t.entries[u.Name] = e
 			t.pools[pool.Name] = append(t.pools[pool.Name], e)
 		}
@@ -172,17 +188,38 @@
 	}
 }
 
-// Begin counts a request on the upstream until the returned function is called.
-func (t *Table) Begin(name string) (done func()) {
+// Stay is one request of this node on an upstream.
+type Stay struct {
+	entry *entry
+	first sync.Once
+	last  sync.Once
+}
+
+// Begin counts a request on the upstream until its Stay ends.
+func (t *Table) Begin(name string) *Stay {
 	t.mu.RLock()
-	e := t.entries[name]
-	t.mu.RUnlock()
-	if e == nil {
-		return func() {}
+	defer t.mu.RUnlock()
+	s := &Stay{entry: t.entries[name]}
+	if s.entry != nil {
+		s.entry.inFlight.Add(1)
+		s.entry.waiting.Add(1)
+	}
+	return s
+}
+
+// Answered says that the answer has begun. It may be called more than once.
+func (s *Stay) Answered() {
+	if s.entry != nil {
+		s.first.Do(func() { s.entry.waiting.Add(-1) })
+	}
+}
+
+// End says that the request has left the upstream. It may be called more than once.
+func (s *Stay) End() {
+	s.Answered()
+	if s.entry != nil {
+		s.last.Do(func() { s.entry.inFlight.Add(-1) })
 	}
-	e.inFlight.Add(1)
-	var once sync.Once
-	return func() { once.Do(func() { e.inFlight.Add(-1) }) }
 }
 
 // Report returns what is known of an upstream.
@@ -222,15 +259,19 @@
 
 func (e *entry) candidate(now time.Time) Candidate {
 	load := int(e.inFlight.Load())
+	queued := int(e.waiting.Load())
 	if now.Sub(e.at) < reportLifetime {
 		load = max(load, e.merged.Running+e.merged.Queued)
+		queued = max(queued, e.merged.Queued)
 	}
 	return Candidate{
 		Upstream:       e.upstream,
 		Incarnation:    e.merged.Incarnation,
 		WeightsVersion: e.merged.WeightsVersion,
 		Load:           load,
+		Queued:         queued,
 		Slots:          e.slots,
+		NameHash:       e.hash,
 	}
 }
 
