--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -332,9 +332,9 @@
 	}
 }
 
-// BenchmarkClaims claims keys at a fixed rate and reports platform writes a
+// BenchmarkSlopeClaims claims keys at a fixed rate and reports platform writes a
 // second and the time of a claim.
-func BenchmarkClaims(b *testing.B) {
+func BenchmarkSlopeClaims(b *testing.B) {
 	for _, nodes := range []int{3, 9} {
 		for _, rate := range []int{10, 100, 1000} {
 			b.Run(fmt.Sprintf("nodes=%d/rate=%d", nodes, rate), func(b *testing.B) { claimsAtRate(b, nodes, rate) })
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -160,3 +160,19 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkSlopeRequest reports processor time, memory and allocations of a
+// whole request of 10 and 100 events, caller and engine included.
+func BenchmarkSlopeRequest(b *testing.B) {
+	for _, tokens := range []int{10, 100} {
+		b.Run(fmt.Sprintf("events=%d", tokens), func(b *testing.B) {
+			f := newBenchFleet(b, standin.DeploymentOptions{Engines: 1})
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := f.complete(f.nodes[0], tokens).check(tokens); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
