internal/answer: the caller's side of a model's answer in a package of its own

The answers (streamed, joined) and the transcript now stand alone; internal/membership's table is three files.

--- a/internal/request/transcript.go
+++ b/internal/answer/transcript.go
@@ -1,4 +1,4 @@
-package request
+package answer
 
 import (
 	"bytes"
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -140,8 +140,6 @@
 	t.changes++
 }
 
-func factKey(f *peerrpc.Fact) string { return f.GetKind() + "/" + f.GetName() }
-
 // SetGeneration sets the configuration generation that heartbeats carry.
 func (t *Table) SetGeneration(generation uint64) {
 	t.mu.Lock()
@@ -167,49 +165,6 @@
 	return t.changes
 }
 
-// SetFact states a fact and spreads it. Its version is set above any known one.
-func (t *Table) SetFact(now time.Time, kind, name string, value []byte, lifetime time.Duration) {
-	t.mu.Lock()
-	f := &peerrpc.Fact{Kind: kind, Name: name, Value: value, Version: uint64(now.UnixMilli())}
-	if lifetime > 0 {
-		f.ExpiresUnixMs = now.Add(lifetime).UnixMilli()
-	}
-	if old := t.facts[factKey(f)]; old != nil {
-		f.Version = max(f.Version, old.GetVersion()+1)
-	}
-	t.takeFact(f)
-	t.mu.Unlock()
-	t.tell([]*peerrpc.Fact{f})
-}
-
-func (t *Table) takeFact(f *peerrpc.Fact) {
-	t.facts[factKey(f)] = f
-	t.queue("fact/"+factKey(f), &update{fact: f})
-}
-
-func (t *Table) tell(facts []*peerrpc.Fact) {
-	for _, f := range facts {
-		for _, listener := range t.listeners {
-			listener(f)
-		}
-	}
-}
-
-// Fact returns the fact of a kind and name.
-func (t *Table) Fact(kind, name string) (*peerrpc.Fact, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	f, found := t.facts[kind+"/"+name]
-	return f, found
-}
-
-// FactCount returns the number of facts that are known.
-func (t *Table) FactCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.facts)
-}
-
 // Merge takes what another node has sent.
 func (t *Table) Merge(now time.Time, g *peerrpc.Gossip) { t.merge(now, g, true) }
 
@@ -234,18 +189,6 @@
 	t.tell(news)
 }
 
-func (t *Table) mergeFact(now time.Time, f *peerrpc.Fact) bool {
-	old := t.facts[factKey(f)]
-	if old != nil && old.GetVersion() >= f.GetVersion() {
-		return false
-	}
-	if f.GetExpiresUnixMs() > 0 && f.GetExpiresUnixMs() <= now.UnixMilli() {
-		return false
-	}
-	t.takeFact(f)
-	return true
-}
-
 func (t *Table) mergeMember(now time.Time, m *peerrpc.Member) {
 	if m.GetName() == "" {
 		return
@@ -487,90 +430,6 @@
 	}
 }
 
-// Members returns all members that are known, this node too, ordered by name.
-func (t *Table) Members() []*peerrpc.Member {
-	return t.filter(func(*peerrpc.Member) bool { return true })
-}
-
-// Serving returns the live members that callers may be sent to.
-func (t *Table) Serving() []*peerrpc.Member {
-	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() == live })
-}
-
-// Active returns the members that stay: joining, live and suspect ones.
-func (t *Table) Active() []*peerrpc.Member {
-	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() <= suspect })
-}
-
-// Reachable returns the members that answer: live, suspect and leaving ones.
-func (t *Table) Reachable() []*peerrpc.Member {
-	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() != dead })
-}
-
-func (t *Table) filter(keep func(*peerrpc.Member) bool) []*peerrpc.Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []*peerrpc.Member
-	if keep(t.self) {
-		list = append(list, proto.Clone(t.self).(*peerrpc.Member))
-	}
-	for _, r := range t.members {
-		if keep(r.member) {
-			list = append(list, r.member)
-		}
-	}
-	slices.SortFunc(list, func(a, b *peerrpc.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
-	return list
-}
-
-// Live reports whether a node runs, as far as is known, in the incarnation given.
-func (t *Table) Live(name string, incarnation uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if name == t.self.GetName() {
-		return incarnation == t.self.GetIncarnation()
-	}
-	r, known := t.members[name]
-	return known && r.member.GetState() != dead && r.member.GetIncarnation() == incarnation
-}
-
-// successor returns the member whose name comes next after this node's, in a ring.
-func (t *Table) successor() (*peerrpc.Member, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var first, next *peerrpc.Member
-	for name, r := range t.members {
-		if r.member.GetState() == dead {
-			continue
-		}
-		if first == nil || name < first.GetName() {
-			first = r.member
-		}
-		if name > t.self.GetName() && (next == nil || name < next.GetName()) {
-			next = r.member
-		}
-	}
-	if next == nil {
-		next = first
-	}
-	return next, next != nil
-}
-
-func (t *Table) randomDead() (*peerrpc.Member, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []*peerrpc.Member
-	for _, r := range t.members {
-		if r.member.GetState() == dead {
-			list = append(list, r.member)
-		}
-	}
-	if len(list) == 0 {
-		return nil, false
-	}
-	return list[rand.IntN(len(list))], true
-}
-
 // Random returns up to n random members that are neither suspect nor dead,
 // without this node and the one named.
 func (t *Table) Random(n int, without string) []*peerrpc.Member {
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
+)
+
+// Members returns all members that are known, this node too, ordered by name.
+func (t *Table) Members() []*peerrpc.Member {
+	return t.filter(func(*peerrpc.Member) bool { return true })
+}
+
+// Serving returns the live members that callers may be sent to.
+func (t *Table) Serving() []*peerrpc.Member {
+	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() == live })
+}
+
+// Active returns the members that stay: joining, live and suspect ones.
+func (t *Table) Active() []*peerrpc.Member {
+	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() <= suspect })
+}
+
+// Reachable returns the members that answer: live, suspect and leaving ones.
+func (t *Table) Reachable() []*peerrpc.Member {
+	return t.filter(func(m *peerrpc.Member) bool { return m.GetState() != dead })
+}
+
+func (t *Table) filter(keep func(*peerrpc.Member) bool) []*peerrpc.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*peerrpc.Member
+	if keep(t.self) {
+		list = append(list, proto.Clone(t.self).(*peerrpc.Member))
+	}
+	for _, r := range t.members {
+		if keep(r.member) {
+			list = append(list, r.member)
+		}
+	}
+	slices.SortFunc(list, func(a, b *peerrpc.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return list
+}
+
+// Live reports whether a node runs, as far as is known, in the incarnation given.
+func (t *Table) Live(name string, incarnation uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if name == t.self.GetName() {
+		return incarnation == t.self.GetIncarnation()
+	}
+	r, known := t.members[name]
+	return known && r.member.GetState() != dead && r.member.GetIncarnation() == incarnation
+}
+
+// successor returns the member whose name comes next after this node's, in a ring.
+func (t *Table) successor() (*peerrpc.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var first, next *peerrpc.Member
+	for name, r := range t.members {
+		if r.member.GetState() == dead {
+			continue
+		}
+		if first == nil || name < first.GetName() {
+			first = r.member
+		}
+		if name > t.self.GetName() && (next == nil || name < next.GetName()) {
+			next = r.member
+		}
+	}
+	if next == nil {
+		next = first
+	}
+	return next, next != nil
+}
+
+func (t *Table) randomDead() (*peerrpc.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*peerrpc.Member
+	for _, r := range t.members {
+		if r.member.GetState() == dead {
+			list = append(list, r.member)
+		}
+	}
+	if len(list) == 0 {
+		return nil, false
+	}
+	return list[rand.IntN(len(list))], true
+}
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/answer"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
 	"github.com/hibiscuscove/hibiscuscove/internal/route"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
@@ -29,7 +30,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, errCallerGone) {
+		if errors.Is(err, answer.ErrCallerGone) {
 			return err
 		}
 		if verdict.Of(err) != verdict.NotRun {
@@ -57,12 +58,12 @@
 	defer stay.End()
 	a := &attempt{job: j, candidate: candidate, stay: stay, call: j.call(), incarnation: candidate.Incarnation}
 	j.attempt++
-	if j.sink == nil {
+	if j.answer == nil {
 		err = a.whole(ctx)
 	} else {
 		err = a.events(ctx)
 	}
-	if err != nil && !errors.Is(err, errCallerGone) {
+	if err != nil && !errors.Is(err, answer.ErrCallerGone) {
 		a.blame(ctx, err)
 	}
 	j.endTrial(err)
@@ -111,10 +112,10 @@
 
 // resumable reports whether the answer can still become one coherent whole.
 func (j *job) resumable() bool {
-	return j.sink == nil || j.sink.restartable() || j.continues()
+	return j.answer == nil || !j.answer.Begun() || j.continues()
 }
 
-func (j *job) continues() bool { return j.pool.ContinuesAnswers && j.sink.text() != "" }
+func (j *job) continues() bool { return j.pool.ContinuesAnswers && j.answer.Text() != "" }
 
 // final returns the error that the caller gets after the last attempt.
 func (j *job) final(err error) error {
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/answer"
+	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
 	"github.com/hibiscuscove/hibiscuscove/internal/stream"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
@@ -28,7 +30,7 @@
 // arrived in order.
 func (a *attempt) events(ctx context.Context) error {
 	a.progress = a.h.opts.Now()
-	a.prepareSink()
+	a.prepareAnswer()
 	sequencer := stream.NewSequencer(a.id, a.call.Attempt)
 	err := a.connect(ctx, sequencer, a.send)
 	for a.worthReattaching(ctx, err) {
@@ -54,24 +56,24 @@
 	return a.explain(ctx, err)
 }
 
-// prepareSink readies the sink for a new attempt: it goes on from the text so
+// prepareAnswer readies the answer for a new attempt: it goes on from the text so
 // far where the pool allows it, and starts anew otherwise.
-func (a *attempt) prepareSink() {
+func (a *attempt) prepareAnswer() {
 	if a.continues() {
-		a.call.Continue = a.sink.text()
+		a.call.Continue = a.answer.Text()
 		a.h.metrics.continued.Inc(1)
 		return
 	}
-	a.sink.restart()
+	a.answer.Restart()
 }
 
 // errLost means that the engine doesn't know the attempt, or is another incarnation.
 var errLost = errors.New("request: the upstream has lost the attempt")
 
 func (a *attempt) send(ctx context.Context) (upstream.Answer, error) {
-	answer, err := a.h.opts.Client.Send(ctx, a.candidate.Address, a.call)
+	head, err := a.h.opts.Client.Send(ctx, a.candidate.Address, a.call)
 	a.sent = a.sent || err == nil || verdict.Of(err) != verdict.NotRun
-	return answer, err
+	return head, err
 }
 
 // connect opens a connection and copies events from it until the stream ends
@@ -83,19 +85,19 @@
 	watchdog := time.AfterFunc(max(reattachPause, a.timeLeft()), func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	a.call.Connected = func() { watchdog.Reset(a.silence()) }
-	answer, err := open(ctx)
+	head, err := open(ctx)
 	if err != nil {
 		return a.openError(ctx, err)
 	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.Status != http.StatusOK {
-		return a.plain(answer)
+	defer func() { _ = head.Body.Close() }()
+	if head.Status != http.StatusOK {
+		return a.plain(head)
 	}
-	if err := a.check(answer); err != nil {
+	if err := a.check(head); err != nil {
 		return err
 	}
-	err = a.copy(answer, sequencer, watchdog)
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, errCallerGone) && err != nil {
+	err = a.copy(head, sequencer, watchdog)
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, answer.ErrCallerGone) && err != nil {
 		return fmt.Errorf("%w: %w", err, cause)
 	}
 	return err
@@ -113,18 +115,18 @@
 }
 
 // check refuses an answer of another incarnation or of other weights.
-func (a *attempt) check(answer upstream.Answer) error {
-	if a.weights != "" && answer.WeightsVersion != "" && answer.WeightsVersion != a.weights {
+func (a *attempt) check(head upstream.Answer) error {
+	if a.weights != "" && head.WeightsVersion != "" && head.WeightsVersion != a.weights {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "wrong_weights",
 			"the upstream answered by other weights").WithObject("upstream/"+a.candidate.Name, "weights_version")
 	}
-	if a.attached && answer.Incarnation != a.incarnation {
+	if a.attached && head.Incarnation != a.incarnation {
 		return errLost
 	}
 	a.attached = true
-	a.incarnation = answer.Incarnation
-	a.h.metrics.cachedTokens.Inc(int64(answer.CachedTokens))
-	a.h.metrics.promptTokens.Inc(int64(answer.PromptTokens))
+	a.incarnation = head.Incarnation
+	a.h.metrics.cachedTokens.Inc(int64(head.CachedTokens))
+	a.h.metrics.promptTokens.Inc(int64(head.PromptTokens))
 	return nil
 }
 
@@ -142,9 +144,9 @@
 	return limit - a.h.opts.Now().Sub(a.progress)
 }
 
-// copy moves events from the answer to the sink.
-func (a *attempt) copy(answer upstream.Answer, sequencer *stream.Sequencer, watchdog *time.Timer) error {
-	reader := stream.NewReader(answer.Body, stream.ReaderOptions{})
+// copy moves events from the upstream to the answer.
+func (a *attempt) copy(head upstream.Answer, sequencer *stream.Sequencer, watchdog *time.Timer) error {
+	reader := stream.NewReader(head.Body, stream.ReaderOptions{})
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -175,7 +177,7 @@
 			watchdog.Reset(a.silence())
 		}
 		if reader.Buffered() == 0 {
-			if err := a.sink.flush(); err != nil {
+			if err := a.answer.Flush(); err != nil {
 				return err
 			}
 		}
@@ -184,28 +186,30 @@
 
 func (a *attempt) deliver(now time.Time, data []byte) error {
 	a.h.metrics.events.Inc(1)
-	if !a.sink.begun() {
+	if !a.answer.Begun() {
 		a.h.metrics.firstEvent.Update(now.Sub(a.started).Microseconds())
 	}
 	if string(data) != stream.Done {
-		return a.sink.event(now, data)
+		return a.answer.Event(now, data)
 	}
-	if err := a.sink.end(now); err != nil {
+	if err := a.answer.End(now); err != nil {
 		return err
 	}
+	record := a.answer.Recorded()
+	a.outcome = ledger.Outcome{Verdict: verdict.Ran, Status: record.Status, ContentType: record.ContentType, Body: record.Body}
 	return errDone
 }
 
 // plain passes on an answer that is no stream: an error of the engine's.
-func (a *attempt) plain(answer upstream.Answer) error {
-	if answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests {
+func (a *attempt) plain(head upstream.Answer) error {
+	if head.Status >= http.StatusInternalServerError || head.Status == http.StatusTooManyRequests {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "upstream_failed",
-			fmt.Sprintf("the upstream answered with status %d", answer.Status))
+			fmt.Sprintf("the upstream answered with status %d", head.Status))
 	}
-	if a.sink.begun() {
+	if a.answer.Begun() {
 		return errLost
 	}
-	return a.deliverWhole(answer)
+	return a.deliverWhole(head)
 }
 
 // worthReattaching reports whether the same incarnation may still have the rest.
@@ -213,7 +217,7 @@
 	if err == nil || !a.sent || ctx.Err() != nil || a.timeLeft() <= 0 {
 		return false
 	}
-	if errors.Is(err, errCallerGone) || errors.Is(err, errLost) {
+	if errors.Is(err, answer.ErrCallerGone) || errors.Is(err, errLost) {
 		return false
 	}
 	var e *verdict.Error
@@ -236,9 +240,9 @@
 func (a *attempt) explain(ctx context.Context, err error) error {
 	var e *verdict.Error
 	switch {
-	case errors.Is(err, errCallerGone) || a.callerGone():
+	case errors.Is(err, answer.ErrCallerGone) || a.callerGone():
 		a.h.metrics.cancelled.Inc(1)
-		return errCallerGone
+		return answer.ErrCallerGone
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "deadline_passed", "the deadline has passed").WithCause(err)
 	case errors.As(err, &e):
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/answer"
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
 	"github.com/hibiscuscove/hibiscuscove/internal/limit"
@@ -29,10 +30,7 @@
 // bytesPerToken is about how much text a token holds.
 const bytesPerToken = 4
 
-var (
-	errCallerGone = errors.New("request: the caller has gone")
-	errSilent     = errors.New("request: the upstream is silent")
-)
+var errSilent = errors.New("request: the upstream is silent")
 
 // job is one request on its way. It is for one goroutine.
 type job struct {
@@ -53,8 +51,8 @@
 	placement    route.Request
 	fingerprint  string
 	grant        *ledger.Grant
-	// sink takes the events of a model's answer. It is nil for plain services.
-	sink sink
+	// answer takes the events of a model's answer. It is nil for plain services.
+	answer answer.Answer
 
 	attempt int
 	tried   map[string]bool
@@ -102,9 +100,16 @@
 		j.placement.Sizes = append(j.placement.Sizes, len(level)/bytesPerToken)
 	}
 	j.fingerprint = quarantine.Fingerprint(j.organisation.Name, j.route.Name+" "+j.path, j.body)
-	chat := j.path == "/v1/chat/completions"
+	opts := answer.Options{
+		W:            j.w,
+		Now:          j.h.opts.Now,
+		WriteTimeout: j.h.callerTimeout(),
+		MaxBytes:     j.h.opts.MaxAnswerBytes,
+		KeepText:     j.pool.ContinuesAnswers,
+		Chat:         j.path == "/v1/chat/completions",
+	}
 	if parsed.Stream {
-		j.sink = newStreamSink(j)
+		j.answer = answer.NewStream(opts)
 		return nil
 	}
 	streamed, err := openai.Streamed(j.body)
@@ -112,7 +117,7 @@
 		return verdict.New(verdict.NotRun, http.StatusBadRequest, "bad_json", "the body is not a JSON object").WithObject("body", "").WithCause(err)
 	}
 	j.body = streamed
-	j.sink = newWholeSink(j, chat)
+	j.answer = answer.NewWhole(opts)
 	return nil
 }
 
@@ -193,6 +198,9 @@
 		return err
 	}
 	j.grant = &grant
+	if j.answer != nil {
+		j.answer.Claimed()
+	}
 	return nil
 }
 
@@ -207,15 +215,7 @@
 	j.h.metrics.replayed.Inc(1)
 	j.w.Header().Set(verdict.Header, verdict.Ran.String())
 	j.w.Header().Set(ReplayedHeader, "true")
-	j.writeWhole(taken.Record.Status, taken.Record.ContentType, taken.Record.Body)
-}
-
-func (j *job) writeWhole(status int, contentType string, body []byte) {
-	if contentType != "" {
-		j.w.Header().Set("Content-Type", contentType)
-	}
-	j.w.WriteHeader(status)
-	_, _ = j.w.Write(body)
+	answer.WriteWhole(j.w, answer.Record{Status: taken.Record.Status, ContentType: taken.Record.ContentType, Body: taken.Record.Body})
 }
 
 // settle writes the outcome of a claimed request, or releases its key if it
@@ -236,12 +236,12 @@
 // finish tells the caller of an error. An answer that has begun is broken off
 // in a way that can't be taken for its end.
 func (j *job) finish(err error) {
-	if err == nil || errors.Is(err, errCallerGone) {
+	if err == nil || errors.Is(err, answer.ErrCallerGone) {
 		return
 	}
-	if j.sink != nil && j.sink.begun() {
+	if j.answer != nil && j.answer.Begun() {
 		j.h.metrics.refusals.Inc(1)
-		j.sink.fail(err)
+		j.answer.Fail(err)
 		panic(http.ErrAbortHandler)
 	}
 	j.h.refuse(j.w, err)
--- a/internal/request/whole.go
+++ b/internal/request/whole.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/answer"
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
@@ -20,20 +21,20 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(a.route.FirstByteTimeout(), func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	answer, err := a.h.opts.Client.Send(ctx, a.candidate.Address, a.call)
+	head, err := a.h.opts.Client.Send(ctx, a.candidate.Address, a.call)
 	if err != nil {
 		return a.wholeError(ctx, err)
 	}
 	watchdog.Stop()
-	defer func() { _ = answer.Body.Close() }()
-	if answer.Incarnation != "" {
-		a.incarnation = answer.Incarnation
+	defer func() { _ = head.Body.Close() }()
+	if head.Incarnation != "" {
+		a.incarnation = head.Incarnation
 	}
-	failed := answer.Status >= http.StatusInternalServerError
+	failed := head.Status >= http.StatusInternalServerError
 	if failed && a.route.Idempotent && a.attempt < a.route.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "upstream_failed", "the upstream failed")
 	}
-	if err := a.deliverWhole(answer); err != nil {
+	if err := a.deliverWhole(head); err != nil {
 		return a.wholeError(ctx, err)
 	}
 	return nil
@@ -45,7 +46,7 @@
 	}
 	if a.callerGone() {
 		a.h.metrics.cancelled.Inc(1)
-		return errCallerGone
+		return answer.ErrCallerGone
 	}
 	if errors.Is(context.Cause(ctx), errSilent) {
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "upstream_silent", "the upstream did not answer in time").WithCause(err)
@@ -57,10 +58,10 @@
 }
 
 // deliverWhole reads an answer to its end and gives it to the caller.
-func (a *attempt) deliverWhole(answer upstream.Answer) error {
+func (a *attempt) deliverWhole(head upstream.Answer) error {
 	limit := a.h.opts.MaxAnswerBytes
 	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(answer.Body, limit+1))
+	n, err := io.Copy(&body, io.LimitReader(head.Body, limit+1))
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "upstream_cut", "the upstream's answer broke off").WithCause(err)
 	}
@@ -68,12 +69,12 @@
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "answer_too_large", "the upstream's answer is too large")
 	}
 	v := verdict.Ran
-	if answer.Status >= http.StatusInternalServerError {
+	if head.Status >= http.StatusInternalServerError {
 		v = verdict.MayHaveRun
 	}
-	a.outcome = ledger.Outcome{Verdict: v, Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: body.Bytes()}
-	copyHeader(a.w.Header(), answer.Header)
+	a.outcome = ledger.Outcome{Verdict: v, Status: head.Status, ContentType: head.Header.Get("Content-Type"), Body: body.Bytes()}
+	copyHeader(a.w.Header(), head.Header)
 	a.w.Header().Set(verdict.Header, v.String())
-	a.writeWhole(answer.Status, a.outcome.ContentType, body.Bytes())
+	answer.WriteWhole(a.w, answer.Record{Status: head.Status, ContentType: a.outcome.ContentType, Body: body.Bytes()})
 	return nil
 }
