internal: tests that catch what mutations showed uncaught

Taken out in a scratch copy without any test failing: the call to dead members, the refusal of lower generations, the writer's check of a key's age. The cut in the membership test now lasts until both sides hold the other for dead, the holder is offered an old generation last, and a holder that was paused past the retention claims a key.

--- a/internal/ledger/outage_test.go
+++ b/internal/ledger/outage_test.go
@@ -99,10 +99,26 @@
 	}
 }
 
+// TestHolderPausedPastRetention claims a key that was fresh when its holder
+// checked it and has left the retention since. Its record may have been
+// dropped, so nobody may run it.
+func TestHolderPausedPastRetention(t *testing.T) {
+	store := &faultyStore{Memory: platform.NewMemory()}
+	l := newLedger(store, "a")
+	defer l.Close(context.Background())
+	old := time.Now().Add(-l.Retention() - time.Minute)
+	_, err := l.Claim(context.Background(), old, claimOf(keyAt(old)))
+	if e := verdict.As(err); e.Code != "idempotency_key_expired" || e.Verdict != verdict.MayHaveRun {
+		t.Errorf("got %v", err)
+	}
+}
+
 // virtualKey returns a key of the bubble's time.
-func virtualKey() ledger.Key {
+func virtualKey() ledger.Key { return keyAt(time.Now()) }
+
+func keyAt(made time.Time) ledger.Key {
 	id := uuid.New()
-	ms := time.Now().UnixMilli()
+	ms := made.UnixMilli()
 	for i := range 6 {
 		id[i] = byte(ms >> (8 * (5 - i)))
 	}
--- a/internal/membership/spread_test.go
+++ b/internal/membership/spread_test.go
@@ -251,7 +251,9 @@
 				n.cut[list[3].name+">"+other.name] = true
 			}
 			n.mu.Unlock()
-			eventually(t, "the others drop it", func() bool { return serves(list[:3], nodes-1) })
+			eventually(t, "both sides hold the other for dead", func() bool {
+				return serves(list[:3], nodes-1) && len(list[3].table.Reachable()) == 1 && len(list[0].table.Reachable()) == nodes-1
+			})
 			n.mu.Lock()
 			n.cut = make(map[string]bool)
 			n.mu.Unlock()
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -179,7 +179,7 @@
 	broken.Generation = 3
 	broken.Objects = []contract.Object{priority("a", 77)}
 	h := publication.NewHolder()
-	for _, d := range []contract.Document{two, one, two, broken} {
+	for _, d := range []contract.Document{one, two, two, broken, one} {
 		_, _ = h.Offer(d)
 	}
 	if h.Generation() != 2 || h.Current().Catalogue.Level("a") != 2 {
