internal/answer: an answer whose choice has ended is not gone on with

Cause: read, not measured. A stream cut after its last word but before [DONE] went on elsewhere from the whole text, and a real engine would have sampled further words. Answers with tool calls, log probabilities or several choices went on from their text alone, which loses the rest. The stand-in hid the first, since it counted the words it was given; it now samples at least one more.

Now an answer goes on elsewhere only if it is nothing but text and has no finish reason; a stream that has one is ended. A joined answer starts anew instead. Cached tokens are no longer counted again when a stream is attached again.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -32,8 +32,11 @@
 	Begun() bool
 	// Restart forgets the answer so far. It has no effect once Begun.
 	Restart()
-	// Text is the text so far, if it is kept.
+	// Text is the text so far, if the answer can go on from it elsewhere.
 	Text() string
+	// Finished reports whether the caller has all of the answer's content, so
+	// that it can end although the upstream's stream did not.
+	Finished() bool
 	// Claimed says that the answer goes to the ledger: it is recorded, and goes
 	// on without its caller.
 	Claimed()
--- a/internal/answer/stream.go
+++ b/internal/answer/stream.go
@@ -50,6 +50,15 @@
 	return s.kept.text()
 }
 
+// Finished implements Answer.
+func (s *streamed) Finished() bool {
+	if s.kept == nil {
+		return false
+	}
+	piece := s.kept.read()
+	return piece.Plain && piece.Finished
+}
+
 // Event implements Answer.
 func (s *streamed) Event(now time.Time, data []byte) error {
 	s.begin()
--- a/internal/answer/transcript.go
+++ b/internal/answer/transcript.go
@@ -34,13 +34,29 @@
 	t.over = false
 }
 
-// text returns the text of the answer so far, or nothing if it was too long to keep.
-func (t *transcript) text() string {
+// read returns the answer so far as one piece. It is plain only if all of it
+// is, and was not too long to keep.
+func (t *transcript) read() openai.Piece {
+	whole := openai.Piece{Plain: !t.over}
 	var words strings.Builder
 	for line := range bytes.Lines(t.raw) {
-		words.WriteString(openai.Text(line))
+		piece := openai.ReadPiece(line)
+		words.WriteString(piece.Text)
+		whole.Plain = whole.Plain && piece.Plain
+		whole.Finished = whole.Finished || piece.Finished
+	}
+	whole.Text = words.String()
+	return whole
+}
+
+// text returns the text of the answer so far, if the answer can go on from it:
+// it is nothing but text and has not come to its end.
+func (t *transcript) text() string {
+	piece := t.read()
+	if !piece.Plain || piece.Finished {
+		return ""
 	}
-	return words.String()
+	return piece.Text
 }
 
 // whole joins the events into the answer that an unstreamed request gets.
--- a/internal/answer/whole.go
+++ b/internal/answer/whole.go
@@ -30,6 +30,9 @@
 // Text implements Answer.
 func (s *whole) Text() string { return s.kept.text() }
 
+// Finished implements Answer. An answer in one piece can start anew instead.
+func (s *whole) Finished() bool { return false }
+
 // Flush implements Answer.
 func (s *whole) Flush() error { return nil }
 
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -66,7 +66,7 @@
 			b.Fatal(err)
 		}
 		now := time.Now()
-		text := openai.Text(bytes.TrimPrefix(line, []byte("data: ")))
+		text := openai.ReadPiece(bytes.TrimPrefix(line, []byte("data: "))).Text
 		switch at, err := strconv.ParseInt(text, 10, 64); {
 		case string(line) == "data: [DONE]\n":
 			return first, ages
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -226,18 +226,42 @@
 	_, _ = w.Write(append(body, '\n'))
 }
 
-// Text returns the text that an event of a streamed answer adds to its only choice.
-func Text(data []byte) string {
+// Piece is what an event of a streamed answer adds to its only choice.
+type Piece struct {
+	Text string
+	// Finished says that the choice has come to its end.
+	Finished bool
+	// Plain says that the event adds nothing but text: no tool calls, no
+	// log probabilities, no further choices.
+	Plain bool
+}
+
+// ReadPiece reads the data of an event.
+func ReadPiece(data []byte) Piece {
 	var chunk struct {
 		Choices []struct {
-			Text  string `json:"text"`
-			Delta struct {
-				Content string `json:"content"`
+			Index        int             `json:"index"`
+			Text         string          `json:"text"`
+			Logprobs     json.RawMessage `json:"logprobs"`
+			FinishReason *string         `json:"finish_reason"`
+			Delta        struct {
+				Content      string          `json:"content"`
+				ToolCalls    json.RawMessage `json:"tool_calls"`
+				FunctionCall json.RawMessage `json:"function_call"`
+				Refusal      json.RawMessage `json:"refusal"`
 			} `json:"delta"`
 		} `json:"choices"`
 	}
-	if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
-		return ""
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return Piece{}
+	}
+	if len(chunk.Choices) == 0 {
+		return Piece{Plain: true}
+	}
+	c := chunk.Choices[0]
+	plain := len(chunk.Choices) == 1 && c.Index == 0
+	for _, raw := range []json.RawMessage{c.Logprobs, c.Delta.ToolCalls, c.Delta.FunctionCall, c.Delta.Refusal} {
+		plain = plain && (len(raw) == 0 || string(raw) == "null")
 	}
-	return chunk.Choices[0].Text + chunk.Choices[0].Delta.Content
+	return Piece{Text: c.Text + c.Delta.Content, Finished: c.FinishReason != nil, Plain: plain}
 }
--- a/internal/openai/openai_test.go
+++ b/internal/openai/openai_test.go
@@ -76,6 +76,28 @@
 	}
 }
 
+func TestReadPiece(t *testing.T) {
+	tests := map[string]struct {
+		data string
+		want openai.Piece
+	}{
+		"completion":    {`{"choices":[{"index":0,"text":"a","finish_reason":null}]}`, openai.Piece{Text: "a", Plain: true}},
+		"chat":          {`{"choices":[{"index":0,"delta":{"content":"a"}}]}`, openai.Piece{Text: "a", Plain: true}},
+		"end":           {`{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`, openai.Piece{Plain: true, Finished: true}},
+		"usage":         {`{"choices":[],"usage":{}}`, openai.Piece{Plain: true}},
+		"tool call":     {`{"choices":[{"index":0,"delta":{"tool_calls":[{}]}}]}`, openai.Piece{}},
+		"second choice": {`{"choices":[{"index":1,"text":"b"}]}`, openai.Piece{Text: "b"}},
+		"not JSON":      {`{`, openai.Piece{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, openai.ReadPiece([]byte(tt.data))); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, seed := range []string{
 		`{"model":"m","prompt":"x","stream":true}`,
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -115,6 +115,8 @@
 	return j.answer == nil || !j.answer.Begun() || j.continues()
 }
 
+// continues reports whether the answer can go on from its text. A joined answer
+// keeps its text whether or not the pool allows that.
 func (j *job) continues() bool { return j.pool.ContinuesAnswers && j.answer.Text() != "" }
 
 // final returns the error that the caller gets after the last attempt.
--- a/internal/request/events.go
+++ b/internal/request/events.go
@@ -25,7 +25,7 @@
 var errDone = errors.New("request: end of stream")
 
 // events runs an attempt on a model engine: it sends the request and copies
-// the numbered events to the sink. A connection that breaks or falls silent is
+// the numbered events to the answer. A connection that breaks or falls silent is
 // replaced by a new one to the same incarnation, after the last event that
 // arrived in order.
 func (a *attempt) events(ctx context.Context) error {
@@ -53,6 +53,9 @@
 	if a.sent {
 		a.cancel(ctx)
 	}
+	if a.answer.Finished() && a.end(a.h.opts.Now()) == nil {
+		return nil
+	}
 	return a.explain(ctx, err)
 }
 
@@ -123,10 +126,12 @@
 	if a.attached && head.Incarnation != a.incarnation {
 		return errLost
 	}
+	if !a.attached {
+		a.h.metrics.cachedTokens.Inc(int64(head.CachedTokens))
+		a.h.metrics.promptTokens.Inc(int64(head.PromptTokens))
+	}
 	a.attached = true
 	a.incarnation = head.Incarnation
-	a.h.metrics.cachedTokens.Inc(int64(head.CachedTokens))
-	a.h.metrics.promptTokens.Inc(int64(head.PromptTokens))
 	return nil
 }
 
@@ -192,12 +197,20 @@
 	if string(data) != stream.Done {
 		return a.answer.Event(now, data)
 	}
+	if err := a.end(now); err != nil {
+		return err
+	}
+	return errDone
+}
+
+// end ends the answer and keeps it for the ledger.
+func (a *attempt) end(now time.Time) error {
 	if err := a.answer.End(now); err != nil {
 		return err
 	}
 	record := a.answer.Recorded()
 	a.outcome = ledger.Outcome{Verdict: verdict.Ran, Status: record.Status, ContentType: record.ContentType, Body: record.Body}
-	return errDone
+	return nil
 }
 
 // plain passes on an answer that is no stream: an error of the engine's.
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -105,7 +105,7 @@
 		Now:          j.h.opts.Now,
 		WriteTimeout: j.h.callerTimeout(),
 		MaxBytes:     j.h.opts.MaxAnswerBytes,
-		KeepText:     j.pool.ContinuesAnswers,
+		KeepText:     j.pool.ContinuesAnswers && parsed.Choices == 1,
 		Chat:         j.path == "/v1/chat/completions",
 	}
 	if parsed.Stream {
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -105,13 +105,16 @@
 	defer g.opts.finished(g)
 	rng := rand.New(rand.NewPCG(xxhash.Sum64String(g.opts.salt), xxhash.Sum64String(g.key())))
 	s := newSampling(g.opts.prompt, g.opts.answer)
-	for n := len(strings.Fields(g.opts.answer)); n < g.opts.tokens; n++ {
+	words := len(strings.Fields(g.opts.answer))
+	// An engine that is to go on from a text samples at least one word more.
+	end := max(g.opts.tokens, words+1)
+	for n := words; n < end; n++ {
 		if !g.wait() {
 			return
 		}
 		word := fmt.Sprintf("%s%d ", s.stem(), rng.Uint64()%choicesPerWord)
 		s.add(word)
-		g.add(g.chunk(word, n+1 == g.opts.tokens))
+		g.add(g.chunk(word, n+1 == end))
 	}
 	if g.opts.usage {
 		g.add(g.usage())
