internal/admin: a change without a set is no broken set

Cause: covectl delete sends "set": null, which was parsed as a configuration and refused: no object could be deleted from the command line.

NewNode fills in the advertised addresses by itself.

--- a/cmd/hibiscuscove/process_test.go
+++ b/cmd/hibiscuscove/process_test.go
@@ -222,13 +222,18 @@
 // ctl runs covectl against a node and returns what it prints.
 func (s *system) ctl(n *process, args ...string) string {
 	s.t.Helper()
-	cmd := exec.Command(filepath.Join(binaries, "covectl"), append([]string{"-node", n.control, "-entry", n.address}, args...)...)
-	cmd.Env = append(os.Environ(), "COVE_ADMIN_TOKEN="+adminToken, "COVE_API_KEY="+apiKey)
-	out, err := cmd.CombinedOutput()
+	out, err := s.tryCtl(n, args...)
 	if err != nil {
 		s.t.Fatalf("covectl %v: %v\n%s", args, err, out)
 	}
-	return string(out)
+	return out
+}
+
+func (s *system) tryCtl(n *process, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(binaries, "covectl"), append([]string{"-node", n.control, "-entry", n.address}, args...)...)
+	cmd.Env = append(os.Environ(), "COVE_ADMIN_TOKEN="+adminToken, "COVE_API_KEY="+apiKey)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
 }
 
 func (s *system) eventually(what string, condition func() bool) {
@@ -348,6 +353,43 @@
 	}
 }
 
+// TestOperator takes a configuration through its life with covectl.
+func TestOperator(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	n := s.nodes[1]
+	priorities := func(name string, level int) string {
+		return s.file(name+".json", map[string]any{"priorities": []any{map[string]any{"name": name, "level": level}}})
+	}
+	const bad = `{"priorities":[{"name":"batch","level":44}],"routes":[{"name":"lost","kind":"model","pool":"nothing","colour":1}]}`
+	badFile := s.file("bad.json", json.RawMessage(bad))
+	steps := []struct {
+		args []string
+		want string
+		fail bool
+	}{
+		{[]string{"validate", priorities("batch", 8)}, "would change 1 objects", false},
+		{[]string{"diff", priorities("batch", 8)}, "priority/batch:", false},
+		{[]string{"apply", priorities("batch", 8)}, "published generation 2: priority/batch", false},
+		{[]string{"apply", badFile}, "route/lost: colour: unknown field", true},
+		{[]string{"delete", "priority/normal"}, `route/replies: priority: no priority is named "normal"`, true},
+		{[]string{"delete", "priority/batch"}, "published generation 3", false},
+		{[]string{"rollback", "2"}, "published generation 4: priority/batch", false},
+		{[]string{"rollback", "77"}, "generation 77 is not in the history", true},
+		{[]string{"get"}, `"name": "batch"`, false},
+		{[]string{"-json", "history"}, `"generation": 4`, false},
+		{[]string{"-json", "status"}, `"generation": 4`, false},
+		{[]string{"request", "17"}, "bad_idempotency_key", true},
+		{[]string{"fly"}, "want a command", true},
+	}
+	for _, step := range steps {
+		out, err := s.tryCtl(n, step.args...)
+		if failed := err != nil; failed != step.fail || !strings.Contains(out, step.want) {
+			t.Errorf("covectl %v: %v, want %q in:\n%s", step.args, err, step.want, out)
+		}
+	}
+}
+
 // TestHolderKilledAfterDispatch kills the node that has dispatched a filing.
 // Nobody may run it again, and its caller learns that it may have run.
 func TestHolderKilledAfterDispatch(t *testing.T) {
--- a/examples/quickstart/fleet.go
+++ b/examples/quickstart/fleet.go
@@ -76,8 +76,6 @@
 		return s, err
 	}
 	s.ControlListen, err = freeAddress()
-	s.Advertise = s.Listen
-	s.ControlAdvertise = s.ControlListen
 	return s, err
 }
 
--- a/hibiscuscove.go
+++ b/hibiscuscove.go
@@ -71,6 +71,7 @@
 	if opts == nil {
 		opts = &NodeOptions{}
 	}
+	s = s.WithAddresses()
 	if problems := s.Check(); len(problems) > 0 {
 		return nil, fmt.Errorf("hibiscuscove: %s", problems[0])
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -137,7 +137,7 @@
 	var q ApplyRequest
 	problems := strictjson.Decode("change", raw, &q)
 	change := contract.Change{ID: q.ID, Author: q.Author, Deletes: q.Deletes}
-	if len(problems) == 0 && len(q.Set) > 0 {
+	if len(problems) == 0 && len(q.Set) > 0 && string(q.Set) != "null" {
 		change.Upserts, change.Base, problems = contract.Parse(q.Set)
 	}
 	if len(problems) == 0 && q.ID == "" {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -117,8 +117,7 @@
 	s.DataCentre = "dc-1"
 	s.Listen = freeAddress()
 	s.ControlListen = freeAddress()
-	s.Advertise = s.Listen
-	s.ControlAdvertise = s.ControlListen
+	s = s.WithAddresses()
 	s.PlatformURL = f.StoreURL()
 	s.VMListURL = f.VMsURL()
 	s.AdminToken = adminToken
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,11 +120,13 @@
 func Parse(raw []byte) (Settings, []strictjson.Problem) {
 	s := Default()
 	problems := strictjson.Decode("settings", raw, &s)
-	s = s.withAddresses()
+	s = s.WithAddresses()
 	return s, append(problems, s.Check()...)
 }
 
-func (s Settings) withAddresses() Settings {
+// WithAddresses returns the settings with Listen and ControlListen in place of
+// an empty Advertise and ControlAdvertise.
+func (s Settings) WithAddresses() Settings {
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
 	}
