internal/node: clear refusal of unclean paths, services get paths as written

kratos's router answers paths with empty or dotted elements with a redirect, after which a client may come back with another method and without its body. They are refused as not run now. Encoded slashes in a service's path were decoded on the way; paths and queries now pass as the caller wrote them.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +45,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/route"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
 )
 
@@ -255,13 +258,30 @@
 		return nil, nil, fmt.Errorf("node: listen on %s: %w", address, err)
 	}
 	listener := &quietListener{Listener: inner, now: n.opts.Now}
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false))
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(refuseUnclean))
 	server.HandlePrefix("/", handler)
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.MaxHeaderBytes = n.settings.MaxHeaderBytes
 	return server, listener, nil
 }
 
+// refuseUnclean refuses paths that kratos's router would answer with a redirect,
+// which a client may follow with another method.
+func refuseUnclean(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clean := path.Clean(r.URL.Path)
+		if strings.HasSuffix(r.URL.Path, "/") && clean != "/" {
+			clean += "/"
+		}
+		if clean != r.URL.Path {
+			openai.WriteError(w, verdict.New(verdict.NotRun, http.StatusBadRequest, "unclean_path",
+				"the path has empty or dotted elements").WithObject("request", "target"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // polite asks callers of a leaving node to use their connection no more.
 func (n *Node) polite(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -65,6 +65,8 @@
 		"foreign service":      {filing, "x", callOptions{key: standin.DeploymentOtherKey, idem: newKey()}, 404, "unknown_route"},
 		"unknown route":        {"/services/nothing/x", "x", callOptions{}, 404, "unknown_route"},
 		"unknown path":         {"/v2/completions", "{}", callOptions{}, 404, "unknown_path"},
+		"empty path element":   {"/services//lookups/x", "x", callOptions{}, 400, "unclean_path"},
+		"dotted path element":  {"/services/lookups/../filings/x", "x", callOptions{}, 400, "unclean_path"},
 		"wrong method":         {model, "", callOptions{method: http.MethodDelete}, 404, "unknown_path"},
 		"not JSON":             {model, "{", callOptions{}, 400, "bad_json"},
 		"wrong type":           {model, `{"model":7}`, callOptions{}, 400, "bad_field"},
@@ -91,6 +93,20 @@
 	}
 }
 
+// TestServicePaths sends paths and queries that a plain service must get as
+// the caller wrote them.
+func TestServicePaths(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 1})
+	for _, target := range []string{"/", "/a/b", "/a%2Fb", "/a%20b?q=1&r=%26", "/a/", "/?x", "/caf%C3%A9"} {
+		r := f.call(f.nodes[0], "/services/"+standin.DeploymentLookupRoute+target, "", callOptions{method: http.MethodGet})
+		want := fmt.Sprintf("\"path\":%q", strings.TrimSuffix(target, "?"))
+		if r.status != http.StatusOK || !strings.Contains(r.body, want) {
+			t.Errorf("%s: status %d, want %s in %s", target, r.status, want, r.body)
+		}
+	}
+}
+
 // TestLongHeader sends more header bytes than the node takes.
 func TestLongHeader(t *testing.T) {
 	t.Parallel()
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -252,12 +252,24 @@
 		return
 	}
 	j := h.newJob(now, w, r, catalogue, organisation, rt, body)
-	target := url.URL{Path: "/" + r.PathValue("rest"), RawQuery: r.URL.RawQuery}
-	j.path = target.String()
+	j.path = serviceTarget(r.URL, rt.Name)
 	j.fingerprint = quarantine.Fingerprint(organisation.Name, rt.Name+" "+r.Method+" "+j.path, body)
 	j.serve()
 }
 
+// serviceTarget returns the path and query that the service gets, encoded as
+// the caller wrote them.
+func serviceTarget(u *url.URL, route string) string {
+	rest, found := strings.CutPrefix(u.EscapedPath(), "/services/"+route+"/")
+	if !found {
+		_, rest, _ = strings.Cut(strings.TrimPrefix(u.EscapedPath(), "/services/"), "/")
+	}
+	if u.RawQuery != "" {
+		rest += "?" + u.RawQuery
+	}
+	return "/" + rest
+}
+
 func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
 	organisation, catalogue, err := h.caller(r)
 	if err != nil {
