internal/admin: an accepted change is in force at its node at once

Cause: a change reached the fleet only through the watches of the head. With the platform gone right after the accept it stayed out of force until the platform was back, although it was accepted.

Now the node that published puts it in force itself, and gossip carries it on.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -183,8 +183,13 @@
 	})
 }
 
+// publish publishes a change and puts it in force on this node at once, so that
+// an outage of the platform right after it can't keep it from the fleet.
 func (h *Handler) publish(w http.ResponseWriter, f func() (publication.Result, error)) {
 	result, err := f()
+	if err == nil {
+		_, err = h.opts.Holder.Offer(result.Document)
+	}
 	switch {
 	case err != nil:
 		openai.WriteError(w, err)
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -1,10 +1,13 @@
 package node_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
@@ -49,3 +52,41 @@
 		})
 	}
 }
+
+// blindStore never tells of a change.
+type blindStore struct {
+	platform.Store
+}
+
+func (blindStore) Watch(ctx context.Context, _ string, _ uint64) (platform.Object, error) {
+	<-ctx.Done()
+	return platform.Object{}, ctx.Err()
+}
+
+// TestOutageRightAfterAccept takes the platform away as soon as a change is
+// accepted, before any watch can tell of it. The change is in force everywhere
+// and stays so.
+func TestOutageRightAfterAccept(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{nodes: 4, store: func(f *fleet) platform.Store {
+		return blindStore{platform.NewHTTPStore(platform.HTTPStoreOptions{URL: f.StoreURL()})}
+	}})
+	set := f.Set()
+	set.Priorities[0].Level = 7
+	raw, err := json.Marshal(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.apply(raw)
+	f.Store.SetFault(standin.StoreFault{Down: true})
+	f.nodes[1].stop()
+	replaced := f.start(4, fleetOptions{})
+	f.eventually("the change is in force on all nodes", func() bool {
+		for _, n := range []*testNode{f.nodes[0], f.nodes[2], f.nodes[3], replaced} {
+			if f.status(n).Generation != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/publication/publisher.go
+++ b/internal/publication/publisher.go
@@ -70,6 +70,8 @@
 	// Already says that the change had been published before, or changes nothing.
 	Already bool `json:"already,omitempty"`
 	contract.Outcome
+	// Document is the newest generation at that time.
+	Document contract.Document `json:"-"`
 }
 
 // Publisher publishes changes on the platform.
@@ -149,16 +151,16 @@
 	if err != nil {
 		return Result{}, fmt.Errorf("%w: %w", errNotWritten, err)
 	}
-	if e, found := h.change(id); found {
-		return Result{Generation: e.Generation, Already: true}, nil
-	}
 	document, err := p.readDocument(ctx, h.newest())
 	if err != nil {
 		return Result{}, fmt.Errorf("%w: %w", errNotWritten, err)
 	}
+	if e, found := h.change(id); found {
+		return Result{Generation: e.Generation, Already: true, Document: document}, nil
+	}
 	next, outcome := apply(document)
 	if !outcome.OK() || len(outcome.Changed) == 0 {
-		return Result{Generation: document.Generation, Already: outcome.OK(), Outcome: outcome}, nil
+		return Result{Generation: document.Generation, Already: outcome.OK(), Outcome: outcome, Document: document}, nil
 	}
 	entry := Entry{Generation: next.Generation, ChangeID: id, Author: author, At: now.UTC(), Changed: outcome.Changed, Digest: next.Digest()}
 	entry.Segments, err = p.writeSegments(ctx, h.newest(), document, next)
@@ -168,7 +170,7 @@
 	if err := p.writeHead(ctx, h, version, entry); err != nil {
 		return Result{}, err
 	}
-	return Result{Generation: next.Generation, Outcome: outcome}, nil
+	return Result{Generation: next.Generation, Outcome: outcome, Document: next}, nil
 }
 
 func (p *Publisher) writeHead(ctx context.Context, h head, version uint64, entry Entry) error {
