--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -128,8 +128,8 @@
 	return t, nil
 }
 
-// room reports whether the queue takes the entrant. A full queue sheds its
-// least urgent ticket for a more urgent one.
+// room reports whether the queue takes the entrant: there is a place, and the
+// organisation does not hold more than its part while others wait too.
 func (g *Gate) room(e Entrant) bool {
 	most := int(g.opts.QueueShare * float64(g.opts.Queue))
 	if len(g.queued) > 1 && g.queued[e.Organisation] >= most {
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -168,8 +168,8 @@
 	return organisation, state.Catalogue, nil
 }
 
-// route finds a route that the organisation may use. It tells an unknown route
-// and another organisation's apart for nobody.
+// route finds a route that the organisation may use. An unknown route and
+// another organisation's route get the same answer.
 func (h *Handler) route(o contract.Organisation, c *contract.Catalogue, name string, kind contract.RouteKind) (contract.Route, error) {
 	r, found := c.Route(name)
 	if !found || r.Kind != kind || !o.MayUse(name) {
