--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,8 +36,8 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -66,7 +66,7 @@
 
 // Options sets up a Ledger. Store, Now and Holder are required.
 type Options struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Now returns the present time, for work in the background.
 	Now func() time.Time
 	// Holder and Incarnation name this node in claims.
@@ -367,7 +367,7 @@
 		return shards, nil
 	}
 	object, err := l.opts.Store.Get(ctx, layoutKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		value := strconv.Itoa(l.opts.Shards)
 		object, err = l.opts.Store.Put(ctx, layoutKey, []byte(value), 0)
 		if err != nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,13 +14,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
 // faultyStore is a Store whose next writes fail in chosen ways.
 type faultyStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	mu     sync.Mutex
 	faults []string
 	down   atomic.Bool
@@ -39,41 +39,41 @@
 	return f
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	s.reads.Add(1)
 	if s.down.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.Memory.Get(ctx, key)
 }
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	s.writes.Add(1)
 	if s.down.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	switch s.next() {
 	case "answer lost":
 		_, _ = s.Memory.Put(ctx, key, value, ifVersion)
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "write lost":
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "late":
 		time.AfterFunc(3*time.Millisecond, func() { _, _ = s.Memory.Put(context.Background(), key, value, ifVersion) })
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "very late":
 		time.AfterFunc(2*claimTimeout, func() { _, _ = s.Memory.Put(context.Background(), key, value, ifVersion) })
 		<-ctx.Done()
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "refused":
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.Memory.Put(ctx, key, value, ifVersion)
 }
 
 const claimTimeout = 200 * time.Millisecond
 
-func newLedger(store platform.Store, holder string) *ledger.Ledger {
+func newLedger(store objectstore.Store, holder string) *ledger.Ledger {
 	return ledger.New(ledger.Options{
 		Store:        store,
 		Now:          time.Now,
@@ -94,7 +94,7 @@
 // interleave, at most one dispatch per key happens.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		store := &faultyStore{Memory: platform.NewMemory()}
+		store := &faultyStore{Memory: objectstore.NewMemory()}
 		nodes := []*ledger.Ledger{newLedger(store, "a"), newLedger(store, "b")}
 		defer func() {
 			for _, n := range nodes {
@@ -174,7 +174,7 @@
 	}
 	for name, faults := range tests {
 		t.Run(name, func(t *testing.T) {
-			store := &faultyStore{Memory: platform.NewMemory()}
+			store := &faultyStore{Memory: objectstore.NewMemory()}
 			a, b := newLedger(store, "a"), newLedger(store, "b")
 			defer a.Close(context.Background())
 			defer b.Close(context.Background())
@@ -195,7 +195,7 @@
 // TestClaimThatLandsLate gives a claim up before its write takes effect. It was
 // called not run, so a resend must run.
 func TestClaimThatLandsLate(t *testing.T) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	a, b := newLedger(store, "a"), newLedger(store, "b")
 	defer a.Close(context.Background())
 	defer b.Close(context.Background())
@@ -230,7 +230,7 @@
 // TestOutage takes the platform away: claims are refused at once as not run,
 // and run again as soon as it is back.
 func TestOutage(t *testing.T) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	l := newLedger(store, "a")
 	defer l.Close(context.Background())
 	claim := func() error {
@@ -297,7 +297,7 @@
 // TestSealedSegments fills a shard until it seals and merges segments, then
 // finds every key again on a node that has just taken over.
 func TestSealedSegments(t *testing.T) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	a := newLedger(store, "a")
 	const n = 3000
 	body := make([]byte, 4<<10)
--- a/internal/ledger/outage_test.go
+++ b/internal/ledger/outage_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -38,25 +38,25 @@
 // hangingStore answers nothing while it is down.
 type hangingStore struct{ *faultyStore }
 
-func (s hangingStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s hangingStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if s.down.Load() {
 		<-ctx.Done()
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.faultyStore.Get(ctx, key)
 }
 
-func (s hangingStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s hangingStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	if s.down.Load() {
 		<-ctx.Done()
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	}
 	return s.faultyStore.Put(ctx, key, value, ifVersion)
 }
 
 func outage(t *testing.T, length time.Duration, hangs bool) {
-	faulty := &faultyStore{Memory: platform.NewMemory()}
-	var store platform.Store = faulty
+	faulty := &faultyStore{Memory: objectstore.NewMemory()}
+	var store objectstore.Store = faulty
 	if hangs {
 		store = hangingStore{faulty}
 	}
@@ -103,7 +103,7 @@
 // checked it and has left the retention since. Its record may have been
 // dropped, so nobody may run it.
 func TestHolderPausedPastRetention(t *testing.T) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	l := newLedger(store, "a")
 	defer l.Close(context.Background())
 	old := time.Now().Add(-l.Retention() - time.Minute)
--- a/internal/ledger/rate_test.go
+++ b/internal/ledger/rate_test.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -21,7 +21,7 @@
 
 type slowStore struct{ *faultyStore }
 
-func (s slowStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s slowStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	time.Sleep(platformTime)
 	return s.faultyStore.Put(ctx, key, value, ifVersion)
 }
@@ -43,7 +43,7 @@
 func (*localPeers) Live(string, uint64) bool { return true }
 
 func claimsAtRate(b *testing.B, nodes, rate int) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	ledgers := make([]*ledger.Ledger, nodes)
 	for i := range ledgers {
 		ledgers[i] = ledger.New(ledger.Options{
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 )
 
 const (
@@ -37,7 +37,7 @@
 // usual writer, so that its cache of the head is fresh.
 type shard struct {
 	index uint32
-	store platform.Store
+	store objectstore.Store
 	opts  Options
 
 	mu      sync.Mutex
@@ -48,7 +48,7 @@
 	sealed  map[string]bool
 }
 
-func newShard(index uint32, store platform.Store, opts Options) *shard {
+func newShard(index uint32, store objectstore.Store, opts Options) *shard {
 	return &shard{index: index, store: store, opts: opts}
 }
 
@@ -70,7 +70,7 @@
 			return results, nil
 		}
 		s.loaded = false
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, objectstore.ErrUnavailable) {
 			return nil, err
 		}
 		select {
@@ -150,7 +150,7 @@
 		return fmt.Errorf("ledger: encode head: %w", err)
 	}
 	object, err := s.store.Put(ctx, s.headKey(), raw, s.version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return errRetry
 	}
 	if err != nil {
@@ -311,7 +311,7 @@
 			continue
 		}
 		segment, err := s.readSegment(ctx, ref.GetKey())
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectstore.ErrNotFound) {
 			return errRetry
 		}
 		if err != nil {
@@ -329,7 +329,7 @@
 
 func (s *shard) readHead(ctx context.Context) (*peerrpc.ShardHead, uint64, error) {
 	object, err := s.store.Get(ctx, s.headKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return new(peerrpc.ShardHead), 0, nil
 	}
 	if err != nil {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/admin"
 	"github.com/hibiscuscove/hibiscuscove/internal/node"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
@@ -59,7 +59,7 @@
 	dep    standin.DeploymentOptions
 	adjust func(i int, s *settings.Settings)
 	client func(f *fleet) upstream.Client
-	store  func(f *fleet) platform.Store
+	store  func(f *fleet) objectstore.Store
 }
 
 func newFleet(t testing.TB, opts fleetOptions) *fleet {
--- a/internal/node/inject_test.go
+++ b/internal/node/inject_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -193,13 +193,13 @@
 // injectedStore reaches the steps of the ledger: the first write of a shard's
 // head is the claim, the second the outcome.
 type injectedStore struct {
-	platform.Store
+	objectstore.Store
 	in *injector
 	// service is the address of a service, for faults of upstreams.
 	service string
 }
 
-func (s injectedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s injectedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	if strings.HasPrefix(key, "ledger/") && strings.HasSuffix(key, "/head") {
 		step := stepClaim
 		if s.in.heads.Add(1) > 1 {
@@ -213,11 +213,11 @@
 		})
 		if silent.Load() {
 			<-ctx.Done()
-			return platform.Object{}, fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
+			return objectstore.Object{}, fmt.Errorf("%w: %w", objectstore.ErrUnknown, ctx.Err())
 		}
 		if cut.Load() {
 			_, _ = s.Store.Put(ctx, key, value, ifVersion)
-			return platform.Object{}, platform.ErrUnknown
+			return objectstore.Object{}, objectstore.ErrUnknown
 		}
 	}
 	return s.Store.Put(ctx, key, value, ifVersion)
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
@@ -55,12 +55,12 @@
 
 // blindStore never tells of a change.
 type blindStore struct {
-	platform.Store
+	objectstore.Store
 }
 
-func (blindStore) Watch(ctx context.Context, _ string, _ uint64) (platform.Object, error) {
+func (blindStore) Watch(ctx context.Context, _ string, _ uint64) (objectstore.Object, error) {
 	<-ctx.Done()
-	return platform.Object{}, ctx.Err()
+	return objectstore.Object{}, ctx.Err()
 }
 
 // TestOutageRightAfterAccept takes the platform away as soon as a change is
@@ -68,8 +68,8 @@
 // and stays so.
 func TestOutageRightAfterAccept(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{nodes: 4, store: func(f *fleet) platform.Store {
-		return blindStore{platform.NewHTTPStore(platform.HTTPStoreOptions{URL: f.StoreURL()})}
+	f := newFleet(t, fleetOptions{nodes: 4, store: func(f *fleet) objectstore.Store {
+		return blindStore{objectstore.NewHTTPStore(objectstore.HTTPStoreOptions{URL: f.StoreURL()})}
 	}})
 	set := f.Set()
 	set.Priorities[0].Level = 7
--- a/internal/node/matrix_test.go
+++ b/internal/node/matrix_test.go
@@ -11,7 +11,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/admin"
 	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 )
@@ -149,9 +149,9 @@
 		client: func(*fleet) upstream.Client {
 			return injectedClient{engineapi.NewClient(engineapi.ClientOptions{}), in}
 		},
-		store: func(f *fleet) platform.Store {
-			options := platform.HTTPStoreOptions{URL: f.StoreURL(), CallTimeout: 2 * faultTime}
-			return injectedStore{platform.NewHTTPStore(options), in, f.ServiceAddress(0)}
+		store: func(f *fleet) objectstore.Store {
+			options := objectstore.HTTPStoreOptions{URL: f.StoreURL(), CallTimeout: 2 * faultTime}
+			return injectedStore{objectstore.NewHTTPStore(options), in, f.ServiceAddress(0)}
 		},
 	})
 	f.injector = in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,9 +36,9 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/limit"
 	"github.com/hibiscuscove/hibiscuscove/internal/link"
 	"github.com/hibiscuscove/hibiscuscove/internal/membership"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
 	"github.com/hibiscuscove/hibiscuscove/internal/publication"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
 	"github.com/hibiscuscove/hibiscuscove/internal/request"
@@ -64,7 +64,7 @@
 	// Log takes the lines on changes of state. The default logs nothing.
 	Log zerolog.Logger
 	// Store and Lister replace the platform adapters of the settings.
-	Store  platform.Store
+	Store  objectstore.Store
 	Lister vm.Lister
 	// Client replaces the adapter for upstreams.
 	Client upstream.Client
@@ -130,7 +130,7 @@
 
 func (n *Node) defaults() {
 	if n.opts.Store == nil {
-		n.opts.Store = platform.NewHTTPStore(platform.HTTPStoreOptions{URL: n.settings.PlatformURL})
+		n.opts.Store = objectstore.NewHTTPStore(objectstore.HTTPStoreOptions{URL: n.settings.PlatformURL})
 	}
 	if n.opts.Lister == nil && n.settings.VMListURL != "" {
 		n.opts.Lister = vm.NewHTTPLister(n.settings.VMListURL)
--- a/internal/platform/httpstore.go
+++ b/internal/objectstore/httpstore.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
@@ -90,7 +90,7 @@
 // Put implements Store.
 func (s *HTTPStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (Object, error) {
 	if len(value) > MaxValueBytes {
-		return Object{}, fmt.Errorf("platform: put %s: value of %d bytes is over %d", key, len(value), MaxValueBytes)
+		return Object{}, fmt.Errorf("objectstore: put %s: value of %d bytes is over %d", key, len(value), MaxValueBytes)
 	}
 	w, err := s.write(ctx, http.MethodPut, key, value, ifVersion)
 	if err != nil {
@@ -113,7 +113,7 @@
 	target := strings.TrimSuffix(s.opts.URL, "/") + "/objects/" + url.PathEscape(key)
 	r, err := http.NewRequestWithContext(ctx, method, target, reader)
 	if err != nil {
-		return nil, fmt.Errorf("platform: %s %s: %w", method, key, err)
+		return nil, fmt.Errorf("objectstore: %s %s: %w", method, key, err)
 	}
 	return r, nil
 }
@@ -121,7 +121,7 @@
 func (s *HTTPStore) read(r *http.Request, key string) (Object, error) {
 	resp, err := s.client.Do(r)
 	if err != nil {
-		return Object{}, fmt.Errorf("platform: get %s: %w: %w", key, ErrUnavailable, err)
+		return Object{}, fmt.Errorf("objectstore: get %s: %w: %w", key, ErrUnavailable, err)
 	}
 	defer drain(resp.Body)
 	switch resp.StatusCode {
@@ -129,13 +129,13 @@
 	case http.StatusNotModified:
 		return Object{Key: key, Version: version(r.Header.Get("If-None-Match"))}, nil
 	case http.StatusNotFound:
-		return Object{}, fmt.Errorf("platform: get %s: %w", key, ErrNotFound)
+		return Object{}, fmt.Errorf("objectstore: get %s: %w", key, ErrNotFound)
 	default:
-		return Object{}, fmt.Errorf("platform: get %s: status %d: %w", key, resp.StatusCode, ErrUnavailable)
+		return Object{}, fmt.Errorf("objectstore: get %s: status %d: %w", key, resp.StatusCode, ErrUnavailable)
 	}
 	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil || len(value) > MaxValueBytes {
-		return Object{}, fmt.Errorf("platform: get %s: cut or oversized value: %w", key, ErrUnavailable)
+		return Object{}, fmt.Errorf("objectstore: get %s: cut or oversized value: %w", key, ErrUnavailable)
 	}
 	return Object{Key: key, Version: version(resp.Header.Get("ETag")), Value: value}, nil
 }
@@ -163,7 +163,7 @@
 		if !connected {
 			cause = ErrUnavailable
 		}
-		return 0, fmt.Errorf("platform: put %s: %w: %w", key, cause, err)
+		return 0, fmt.Errorf("objectstore: put %s: %w: %w", key, cause, err)
 	}
 	defer drain(resp.Body)
 	return writeOutcome(resp, key)
@@ -174,11 +174,11 @@
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return version(resp.Header.Get("ETag")), nil
 	case http.StatusPreconditionFailed:
-		return 0, fmt.Errorf("platform: put %s: %w", key, ErrConflict)
+		return 0, fmt.Errorf("objectstore: put %s: %w", key, ErrConflict)
 	case http.StatusTooManyRequests:
-		return 0, fmt.Errorf("platform: put %s: status %d: %w", key, resp.StatusCode, ErrUnavailable)
+		return 0, fmt.Errorf("objectstore: put %s: status %d: %w", key, resp.StatusCode, ErrUnavailable)
 	default:
-		return 0, fmt.Errorf("platform: put %s: status %d: %w", key, resp.StatusCode, ErrUnknown)
+		return 0, fmt.Errorf("objectstore: put %s: status %d: %w", key, resp.StatusCode, ErrUnknown)
 	}
 }
 
--- a/internal/platform/memory.go
+++ b/internal/objectstore/memory.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	defer m.mu.Unlock()
 	object, found := m.objects[key]
 	if !found {
-		return Object{}, fmt.Errorf("platform: get %s: %w", key, ErrNotFound)
+		return Object{}, fmt.Errorf("objectstore: get %s: %w", key, ErrNotFound)
 	}
 	return object, nil
 }
@@ -34,12 +34,12 @@
 // Put implements Store.
 func (m *Memory) Put(_ context.Context, key string, value []byte, ifVersion uint64) (Object, error) {
 	if len(value) > MaxValueBytes {
-		return Object{}, fmt.Errorf("platform: put %s: value of %d bytes is over %d", key, len(value), MaxValueBytes)
+		return Object{}, fmt.Errorf("objectstore: put %s: value of %d bytes is over %d", key, len(value), MaxValueBytes)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[key].Version != ifVersion {
-		return Object{}, fmt.Errorf("platform: put %s: %w", key, ErrConflict)
+		return Object{}, fmt.Errorf("objectstore: put %s: %w", key, ErrConflict)
 	}
 	m.version++
 	object := Object{Key: key, Version: m.version, Value: append([]byte(nil), value...)}
@@ -53,7 +53,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[key].Version != ifVersion {
-		return fmt.Errorf("platform: delete %s: %w", key, ErrConflict)
+		return fmt.Errorf("objectstore: delete %s: %w", key, ErrConflict)
 	}
 	delete(m.objects, key)
 	m.announce()
--- a/internal/platform/store.go
+++ b/internal/objectstore/store.go
@@ -1,4 +1,4 @@
-// Package platform is the narrow interface to the platform's object API: the
+// Package objectstore is the narrow interface to the platform's object API: the
 // only place where anything lasts.
 //
 // An object has a key, a value of at most one megabyte and a version that
@@ -8,17 +8,17 @@
 //
 // # Usage
 //
-//	store := platform.NewHTTPStore(platform.HTTPStoreOptions{URL: "http://127.0.0.1:7000"})
+//	store := objectstore.NewHTTPStore(objectstore.HTTPStoreOptions{URL: "http://127.0.0.1:7000"})
 //	object, err := store.Put(ctx, "configuration/head", value, version)
 //	switch {
-//	case errors.Is(err, platform.ErrConflict):
+//	case errors.Is(err, objectstore.ErrConflict):
 //		// Somebody else wrote first: read and decide anew.
-//	case errors.Is(err, platform.ErrUnknown):
+//	case errors.Is(err, objectstore.ErrUnknown):
 //		// The write may have taken effect: read back.
 //	}
 //
 // Implementations are safe for concurrent use.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -30,13 +30,13 @@
 
 var (
 	// ErrNotFound means that no object has the key.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("objectstore: not found")
 	// ErrConflict means that the object's version is not the one given. Nothing was written.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("objectstore: version conflict")
 	// ErrUnavailable means that the platform did not take the call. Nothing was written.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("objectstore: unavailable")
 	// ErrUnknown means that a write may or may not have taken effect.
-	ErrUnknown = errors.New("platform: outcome unknown")
+	ErrUnknown = errors.New("objectstore: outcome unknown")
 )
 
 // Object is one stored value. Its Value is not to be changed.
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/publication"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -23,12 +23,12 @@
 
 // faultyStore fails the next writes of the head in chosen ways.
 type faultyStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	mu     sync.Mutex
 	faults []string
 }
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (objectstore.Object, error) {
 	s.mu.Lock()
 	fault := ""
 	if key == publication.HeadKey && len(s.faults) > 0 {
@@ -38,11 +38,11 @@
 	switch fault {
 	case "answer lost":
 		_, _ = s.Memory.Put(ctx, key, value, ifVersion)
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "write lost":
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	case "refused":
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.Memory.Put(ctx, key, value, ifVersion)
 }
@@ -67,7 +67,7 @@
 		"mixed":       {"write lost", "refused", "answer lost"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			store := &faultyStore{Memory: platform.NewMemory(), faults: faults}
+			store := &faultyStore{Memory: objectstore.NewMemory(), faults: faults}
 			p := publication.NewPublisher(store)
 			ctx := context.Background()
 			first, err := p.Publish(ctx, start, change("one", 0, priority("a", 1)))
@@ -89,7 +89,7 @@
 // TestPublishWithoutPlatform says that a change has not been published when no
 // write can have taken effect.
 func TestPublishWithoutPlatform(t *testing.T) {
-	store := &faultyStore{Memory: platform.NewMemory()}
+	store := &faultyStore{Memory: objectstore.NewMemory()}
 	for range 1000 {
 		store.faults = append(store.faults, "refused")
 	}
@@ -104,7 +104,7 @@
 // TestRacingOperators publishes from many at once: disjoint changes are all in
 // force, of those to one object just one.
 func TestRacingOperators(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	p := publication.NewPublisher(store)
 	ctx := context.Background()
 	if _, err := p.Publish(ctx, start, change("base", 0, priority("same", 1))); err != nil {
@@ -147,7 +147,7 @@
 // TestRollback publishes a new generation with old content, and keeps the
 // history bounded.
 func TestRollback(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	p := publication.NewPublisher(store)
 	ctx := context.Background()
 	for i := range 120 {
@@ -175,7 +175,7 @@
 // TestReadsOnlyNewSegments follows changes of one object each and counts what
 // is read for one.
 func TestReadsOnlyNewSegments(t *testing.T) {
-	store := &countingStore{Memory: platform.NewMemory()}
+	store := &countingStore{Memory: objectstore.NewMemory()}
 	p, follower := publication.NewPublisher(store), publication.NewPublisher(store)
 	ctx := context.Background()
 	var all []contract.Object
@@ -203,11 +203,11 @@
 }
 
 type countingStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	reads atomic.Int64
 }
 
-func (s *countingStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *countingStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	s.reads.Add(1)
 	return s.Memory.Get(ctx, key)
 }
--- a/internal/publication/publisher.go
+++ b/internal/publication/publisher.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -76,7 +76,7 @@
 
 // Publisher publishes changes on the platform.
 type Publisher struct {
-	store platform.Store
+	store objectstore.Store
 
 	mu sync.Mutex
 	// known holds the segments of the document that was read last. Segments
@@ -85,7 +85,7 @@
 }
 
 // NewPublisher returns a Publisher on the store.
-func NewPublisher(store platform.Store) *Publisher { return &Publisher{store: store} }
+func NewPublisher(store objectstore.Store) *Publisher { return &Publisher{store: store} }
 
 // Publish applies a change to the newest generation and publishes the result.
 // Sending the same change again is safe. An error says whether the change may
@@ -125,7 +125,7 @@
 		if err == nil {
 			return result, nil
 		}
-		if !platform.Definite(err) && !errors.Is(err, errNotWritten) {
+		if !objectstore.Definite(err) && !errors.Is(err, errNotWritten) {
 			outcome = verdict.MayHaveRun
 		}
 		select {
@@ -208,7 +208,7 @@
 
 func (p *Publisher) readHead(ctx context.Context) (head, uint64, error) {
 	object, err := p.store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return head{}, 0, nil
 	}
 	if err != nil {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/platform"
+	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 )
 
 // StoreFault is what goes wrong in the platform's object API.
@@ -30,7 +30,7 @@
 
 // Store is a stand-in for the platform's object API.
 type Store struct {
-	memory *platform.Memory
+	memory *objectstore.Memory
 
 	mu     sync.Mutex
 	fault  StoreFault
@@ -39,7 +39,7 @@
 }
 
 // NewStore returns an empty Store.
-func NewStore() *Store { return &Store{memory: platform.NewMemory()} }
+func NewStore() *Store { return &Store{memory: objectstore.NewMemory()} }
 
 // SetFault switches a fault on, and off with the zero value.
 func (s *Store) SetFault(f StoreFault) {
@@ -120,7 +120,7 @@
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request, key string) {
 	ctx := r.Context()
-	var object platform.Object
+	var object objectstore.Object
 	var err error
 	after := r.Header.Get("If-None-Match")
 	if wait, found := strings.CutPrefix(r.Header.Get("Prefer"), "wait="); found {
@@ -145,7 +145,7 @@
 }
 
 func (s *Store) write(w http.ResponseWriter, r *http.Request, key string) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		return
 	}
@@ -153,7 +153,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	version := parseTag(r.Header.Get("If-Match"))
-	var object platform.Object
+	var object objectstore.Object
 	if r.Method == http.MethodDelete {
 		err = s.memory.Delete(r.Context(), key, version)
 	} else {
@@ -163,7 +163,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadRequest)
