--- a/cmd/hibiscuscove/main.go
+++ b/cmd/hibiscuscove/main.go
@@ -4,6 +4,7 @@
 //
 //	hibiscuscove -settings node.json
 //	hibiscuscove -settings node.json -check
+//	hibiscuscove -platform
 //
 // It ends with status 0 after a graceful stop, 1 after a failure and 2 when
 // its arguments or settings have a problem.
@@ -37,10 +38,14 @@
 	flags := flag.NewFlagSet("hibiscuscove", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "JSON file with the node's settings (required)")
+	onPlatform := flags.Bool("platform", false, "run as an entry VM of the users' platform; its settings file is named by HIBISCUSCOVE_CONFIG unless -settings names one")
 	check := flags.Bool("check", false, "check the settings and end")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
+	if *onPlatform && flags.NArg() == 0 {
+		return runOnPlatform(*path, *check, stderr)
+	}
 	if *path == "" || flags.NArg() > 0 {
 		_, _ = fmt.Fprintln(stderr, "hibiscuscove: want -settings FILE and nothing else")
 		return exitUsage
--- /dev/null
+++ b/internal/beacon/beacon.go
@@ -0,0 +1,303 @@
+// Package beacon tells the other VMs, several times a second and in datagrams,
+// that this one is there, what it knows and what it has on the upstreams.
+//
+// A beacon that is lost is made good by the next. VMs find one another by
+// addresses given to Add, and by the peers that beacons name.
+//
+// # Usage
+//
+//	b := beacon.New(beacon.Options{Conn: conn, Now: time.Now, Compose: compose, Receive: receive})
+//	b.Add("10.1.0.31:7340")
+//	go b.Run(ctx)
+//
+// A Beacon is safe for concurrent use.
+package beacon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+// State is what a VM does.
+type State string
+
+// The states of a VM.
+const (
+	Starting State = "starting"
+	Serving  State = "serving"
+	Leaving  State = "leaving"
+)
+
+// Revisions are how far a VM has come in each collection of the store.
+type Revisions struct {
+	Configuration uint64 `json:"configuration"`
+	Upstreams     uint64 `json:"upstreams"`
+	Versions      uint64 `json:"versions"`
+}
+
+// Suspicion says that an incarnation broke off while it ran a request.
+type Suspicion struct {
+	Fingerprint string `json:"fingerprint"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Message is one beacon.
+type Message struct {
+	Name        string    `json:"name"`
+	Incarnation int64     `json:"incarnation"`
+	Sequence    uint64    `json:"sequence"`
+	Address     string    `json:"address"`
+	Control     string    `json:"control"`
+	Callers     string    `json:"callers"`
+	DataCentre  string    `json:"data_centre"`
+	State       State     `json:"state"`
+	Revisions   Revisions `json:"revisions"`
+	// Loads holds requests, waiting tokens and tokens for each upstream in use.
+	Loads map[string][3]int `json:"loads,omitempty"`
+	Sent  []roster.Sent     `json:"sent,omitempty"`
+	// Leading is the number of the lease under which the VM changes engines,
+	// and Loading are those that it is changing.
+	Leading   uint64      `json:"leading,omitempty"`
+	Loading   []string    `json:"loading,omitempty"`
+	Avoided   []string    `json:"avoided,omitempty"`
+	Suspected []Suspicion `json:"suspected,omitempty"`
+	// Peers are addresses of other VMs.
+	Peers []string `json:"peers,omitempty"`
+}
+
+// Peer is another VM as this one knows it.
+type Peer struct {
+	Message
+	// Heard is when its last beacon came.
+	Heard time.Time
+}
+
+const (
+	defaultPeriod = 150 * time.Millisecond
+	// fanOut bounds the datagrams of one period, so that a VM's cost does not
+	// grow with the fleet.
+	fanOut = 12
+	// missedPeriods is how many beacons a VM may miss before it is thought dead.
+	missedPeriods = 8
+	// forgetAfter is how long a silent VM is still tried.
+	forgetAfter = 30 * time.Second
+	peersNamed  = 4
+	peersEvery  = 5
+	maxDatagram = 16 << 10
+	maxPeers    = 2048
+)
+
+// Options sets up a Beacon. All but the period and the log are required.
+type Options struct {
+	// Conn is where datagrams come and go.
+	Conn net.PacketConn
+	Now  func() time.Time
+	// Period is the time between two beacons. The default is 150 ms.
+	Period time.Duration
+	// Compose returns the next message. Sequence and Peers are filled in.
+	Compose func(now time.Time) Message
+	// Receive takes a peer's message, newer than its last one.
+	Receive func(now time.Time, m Message)
+	Log     zerolog.Logger
+}
+
+// Beacon is the exchange of one VM.
+type Beacon struct {
+	opts Options
+
+	mu       sync.Mutex
+	self     string
+	sequence uint64
+	peers    map[string]Peer
+	// addresses are when each address was last known to be of use.
+	addresses map[string]time.Time
+}
+
+// New returns a Beacon.
+func New(opts Options) *Beacon {
+	if opts.Period <= 0 {
+		opts.Period = defaultPeriod
+	}
+	return &Beacon{opts: opts, peers: make(map[string]Peer), addresses: make(map[string]time.Time)}
+}
+
+// Add names an address where a VM may be.
+func (b *Beacon) Add(now time.Time, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(now, address)
+}
+
+func (b *Beacon) add(now time.Time, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil || address == b.self || len(b.addresses) >= maxPeers {
+		return
+	}
+	if _, known := b.addresses[address]; !known {
+		b.addresses[address] = now
+	}
+}
+
+// Alive returns the peers that have been heard lately, ordered by name.
+func (b *Beacon) Alive(now time.Time) []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Peer
+	for _, p := range b.peers {
+		if now.Sub(p.Heard) < b.patience() {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(x, y Peer) int { return strings.Compare(x.Name, y.Name) })
+	return list
+}
+
+// Known returns how many VMs there are, this one and those lately dead included.
+func (b *Beacon) Known() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return 1 + len(b.peers)
+}
+
+// patience is how long a VM may be silent. In a large fleet each VM hears from
+// another one only now and then.
+func (b *Beacon) patience() time.Duration {
+	rounds := max(1, (len(b.addresses)+fanOut-1)/fanOut)
+	return time.Duration(rounds*missedPeriods) * b.opts.Period
+}
+
+// Run sends and receives until ctx ends.
+func (b *Beacon) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { b.receive(ctx) })
+	stop := context.AfterFunc(ctx, func() { _ = b.opts.Conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	ticker := time.NewTicker(b.opts.Period)
+	defer ticker.Stop()
+	for {
+		b.Send(b.opts.Now())
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Send sends one beacon at once.
+func (b *Beacon) Send(now time.Time) {
+	m := b.opts.Compose(now)
+	b.mu.Lock()
+	b.self = m.Address
+	b.sequence++
+	m.Sequence = b.sequence
+	targets := b.targets(now)
+	if b.sequence%peersEvery == 0 {
+		m.Peers = b.named(now)
+	}
+	b.mu.Unlock()
+	raw, err := json.Marshal(m)
+	if err != nil {
+		b.opts.Log.Error().Err(err).Msg("beacon not sent")
+		return
+	}
+	for _, target := range targets {
+		// A lost datagram is made good by the next beacon.
+		_, _ = b.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(target))
+	}
+}
+
+// targets returns the addresses of this period and forgets those out of use.
+func (b *Beacon) targets(now time.Time) []netip.AddrPort {
+	var list []netip.AddrPort
+	for address, at := range b.addresses {
+		if now.Sub(at) > forgetAfter {
+			delete(b.addresses, address)
+			continue
+		}
+		if address == b.self {
+			continue
+		}
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			list = append(list, parsed)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(fanOut, len(list))]
+}
+
+func (b *Beacon) named(now time.Time) []string {
+	var list []string
+	for _, p := range b.peers {
+		if len(list) < peersNamed && now.Sub(p.Heard) < b.patience() {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
+func (b *Beacon) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := b.opts.Conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		var m Message
+		if err := json.Unmarshal(buffer[:n], &m); err != nil || m.Name == "" {
+			b.opts.Log.Debug().Err(err).Msg("datagram not understood")
+			continue
+		}
+		now := b.opts.Now()
+		if b.Take(now, m) {
+			b.opts.Receive(now, m)
+		}
+	}
+}
+
+// Take takes a message and reports whether it was newer than the last one of
+// its sender.
+func (b *Beacon) Take(now time.Time, m Message) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if m.Address == b.self {
+		return false
+	}
+	old, known := b.peers[m.Name]
+	if known && (m.Incarnation < old.Incarnation || m.Incarnation == old.Incarnation && m.Sequence <= old.Sequence) {
+		return false
+	}
+	if known && old.Address != m.Address {
+		delete(b.addresses, old.Address)
+	}
+	b.peers[m.Name] = Peer{m, now}
+	b.add(now, m.Address)
+	b.addresses[m.Address] = now
+	for _, address := range m.Peers {
+		b.add(now, address)
+	}
+	b.forget(now)
+	return true
+}
+
+func (b *Beacon) forget(now time.Time) {
+	for name, p := range b.peers {
+		if now.Sub(p.Heard) > forgetAfter {
+			delete(b.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entryvm/fleet.go
@@ -0,0 +1,270 @@
+package entryvm
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+const (
+	snapshotTimeout = 700 * time.Millisecond
+	maxSnapshot     = 16 << 20
+	// listEvery is how often the store's list of VMs is read again.
+	listEvery    = 15 * time.Second
+	expireEvery  = 200 * time.Millisecond
+	enterPause   = 500 * time.Millisecond
+	maxSuspected = 16
+	maxSentTold  = 24
+	maxAddresses = 64
+	// localLeast is how many VMs of a caller's data centre are enough.
+	localLeast = 2
+)
+
+// compose returns this VM's next beacon.
+func (v *VM) compose(now time.Time) beacon.Message {
+	m := beacon.Message{
+		Name: v.settings.Name, Incarnation: v.incarnation, Address: v.peerAddress(), Control: v.settings.ControlListen,
+		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
+		Revisions: v.revisions(), Loads: make(map[string][3]int),
+		Sent: v.upstreams.TakeSent(), Avoided: v.upstreams.Avoided(now),
+	}
+	switch {
+	case v.departed.Load() != 0:
+		m.State = beacon.Leaving
+	case v.ready():
+		m.State = beacon.Serving
+	}
+	for id, l := range v.upstreams.OwnLoad() {
+		m.Loads[id] = [3]int{l.Requests, l.WaitingTokens, l.Tokens}
+	}
+	if len(m.Sent) > maxSentTold {
+		m.Sent = m.Sent[len(m.Sent)-maxSentTold:]
+	}
+	if v.rollout.Working(now) {
+		m.Leading = v.keeper.Fence()
+		m.Loading = v.rollout.Changing()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m.Suspected = v.suspected
+	v.suspected = nil
+	return m
+}
+
+func (v *VM) revisions() beacon.Revisions {
+	return beacon.Revisions{
+		Configuration: v.configurations.Revision(), Upstreams: v.upstreamFeed.Revision(), Versions: v.versions.Revision(),
+	}
+}
+
+// receive takes a peer's beacon.
+func (v *VM) receive(now time.Time, m beacon.Message) {
+	loads := make(map[string]roster.Load, len(m.Loads))
+	for id, l := range m.Loads {
+		loads[id] = roster.Load{Requests: l[0], WaitingTokens: l[1], Tokens: l[2]}
+	}
+	v.upstreams.PeerNews(now, m.Name, loads, m.Sent)
+	for _, id := range m.Loading {
+		v.upstreams.SetLoading(now, id)
+	}
+	for _, s := range m.Suspected {
+		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
+	}
+	if m.Leading > 0 {
+		v.rollout.Progress(now)
+		v.mu.Lock()
+		if m.Leading > v.leaderFence {
+			v.leader, v.leaderFence = m.Name, m.Leading
+		}
+		v.mu.Unlock()
+	}
+	own := v.revisions()
+	fetch(v, "configurations", m, m.Revisions.Configuration, own.Configuration, v.configurations)
+	fetch(v, "upstreams", m, m.Revisions.Upstreams, own.Upstreams, v.upstreamFeed)
+	fetch(v, "versions", m, m.Revisions.Versions, own.Versions, v.versions)
+}
+
+// fetchGrace is how long this VM's own watch has to bring what a peer knows.
+const fetchGrace = 250 * time.Millisecond
+
+// fetch gets a peer's newer state of a collection, unless this VM's own watch
+// brings it first.
+func fetch[T any](v *VM, collection string, m beacon.Message, theirs, own uint64, f *registry.Follower[T]) {
+	if theirs <= own {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.fetching[collection] {
+		return
+	}
+	v.fetching[collection] = true
+	go func() {
+		time.Sleep(fetchGrace)
+		if f.Revision() < theirs {
+			var page registry.Page[T]
+			err := v.fetchPage(m.Control, collection, &page)
+			taken := err == nil && f.Offer(v.opts.Now(), page)
+			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs).
+				Uint64("own", own).Bool("taken", taken).AnErr("error", err).Msg("state fetched from a peer")
+		}
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		delete(v.fetching, collection)
+	}()
+}
+
+func (v *VM) fetchPage(control, collection string, page any) error {
+	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection)
+	if err != nil {
+		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshot)).Decode(page); err != nil {
+		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
+	}
+	return nil
+}
+
+// controlHandler serves the other VMs and operators.
+func (v *VM) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/collections/configurations", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.configurations.Snapshot()) })
+	mux.HandleFunc("GET /v1/collections/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.upstreamFeed.Snapshot()) })
+	mux.HandleFunc("GET /v1/collections/versions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.versions.Snapshot()) })
+	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { writeMetrics(w, v.metrics) })
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the reader may have left
+}
+
+// Suspect implements ingress.Fleet.
+func (v *VM) Suspect(_ time.Time, fingerprint string, u roster.Upstream) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.suspected) < maxSuspected {
+		v.suspected = append(v.suspected, beacon.Suspicion{Fingerprint: fingerprint, Incarnation: u.Incarnation()})
+	}
+}
+
+// enter lists this VM in the store and learns of the others.
+func (v *VM) enter(ctx context.Context) {
+	entered := false
+	vms := v.store.VMs()
+	for ctx.Err() == nil {
+		wait := listEvery
+		if !entered {
+			if err := v.store.PutVM(ctx, v.settings.Name, v.peerAddress()); err != nil {
+				v.log.Warn().Err(err).Msg("VM not entered in the store")
+				wait = enterPause
+			} else {
+				entered = true
+			}
+		}
+		page, err := vms.List(ctx)
+		if err != nil {
+			v.log.Warn().Err(err).Msg("list of VMs not read")
+			wait = enterPause
+		}
+		now := v.opts.Now()
+		for _, item := range page.Items {
+			if item.Problem == "" && item.Value != v.peerAddress() {
+				v.beacon.Add(now, item.Value)
+			}
+		}
+		sleep(ctx, wait)
+	}
+	if v.departed.Load() != 0 {
+		if err := v.store.DropVM(context.WithoutCancel(ctx), v.settings.Name); err != nil {
+			v.log.Warn().Err(err).Msg("VM's entry not removed")
+		}
+	}
+}
+
+// keepUp drops upstreams whose entries have not come back.
+func (v *VM) keepUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expireEvery)
+		now := v.opts.Now()
+		v.changed(now, v.upstreams.Expire(now))
+	}
+}
+
+// find returns the VMs that callers from a data centre should use: those of the
+// data centre if there are enough, else all.
+func (v *VM) find(now time.Time, dataCentre string) ([]string, time.Duration) {
+	var local, all []string
+	add := func(address, place string) {
+		all = append(all, address)
+		if place == dataCentre {
+			local = append(local, address)
+		}
+	}
+	if v.ready() {
+		add(v.settings.CallersListen, v.settings.DataCentre)
+	}
+	for _, p := range v.beacon.Alive(now) {
+		if p.State == beacon.Serving {
+			add(p.Callers, p.DataCentre)
+		}
+	}
+	if len(local) >= localLeast {
+		all = local
+	}
+	return all[:min(maxAddresses, len(all))], milliseconds(v.settings.EntryTTLMS)
+}
+
+// turn returns this VM's place among those that may lead a rollout: the last
+// leader first, the others by rendezvous hashing.
+func (v *VM) turn(now time.Time) int {
+	v.mu.Lock()
+	leader := v.leader
+	if own := v.keeper.Fence(); own > 0 && own >= v.leaderFence {
+		leader = v.settings.Name
+	}
+	v.mu.Unlock()
+	names := []string{v.settings.Name}
+	for _, p := range v.beacon.Alive(now) {
+		if p.State == beacon.Serving {
+			names = append(names, p.Name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if a == leader || b == leader {
+			return cmp.Compare(b2i(b == leader), b2i(a == leader))
+		}
+		return cmp.Compare(xxhash.Sum64String("rollout/"+a), xxhash.Sum64String("rollout/"+b))
+	})
+	return slices.Index(names, v.settings.Name)
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/entryvm/status.go
@@ -0,0 +1,61 @@
+package entryvm
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+// Dump is the state of a VM, for operators.
+type Dump struct {
+	Settings  Settings               `json:"settings"`
+	At        time.Time              `json:"at"`
+	Ready     bool                   `json:"ready"`
+	Active    int64                  `json:"active"`
+	Revisions beacon.Revisions       `json:"revisions"`
+	Version   int64                  `json:"configuration_version"`
+	Upstreams []roster.Upstream      `json:"upstreams"`
+	Load      map[string]roster.Load `json:"load"`
+	Avoided   []string               `json:"avoided"`
+	Loading   []string               `json:"loading"`
+	Peers     []beacon.Peer          `json:"peers"`
+	Fence     uint64                 `json:"fence"`
+	Leading   bool                   `json:"leading"`
+}
+
+func (v *VM) dump(now time.Time) Dump {
+	d := Dump{
+		Settings: v.settings, At: now, Ready: v.ready(), Active: v.active.Load(), Revisions: v.revisions(),
+		Upstreams: v.upstreams.All(), Load: v.upstreams.TotalLoad(now), Avoided: v.upstreams.Avoided(now),
+		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.keeper.Fence(), Leading: v.keeper.Holds(now),
+	}
+	if c := v.configuration.Current(); c != nil {
+		d.Version = c.Version()
+	}
+	return d
+}
+
+// writeMetrics writes the counters and histograms in the Prometheus text form.
+func writeMetrics(w http.ResponseWriter, registry metrics.Registry) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	registry.Each(func(name string, m any) {
+		name = "hibiscuscove_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, m.Count())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			_, _ = fmt.Fprintf(w, "# TYPE %s summary\n", name)
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				_, _ = fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, q, s.Percentile(q))
+			}
+			_, _ = fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, s.Sum(), name, s.Count())
+		}
+	})
+}
--- /dev/null
+++ b/internal/entryvm/vm.go
@@ -0,0 +1,280 @@
+// Package entryvm joins the parts of one entry VM on the users' platform: it
+// serves callers, answers those that ask which VM to use, keeps up with the
+// platform's store and with the other VMs, and takes its turn at rollouts.
+//
+// # Usage
+//
+//	vm, err := entryvm.New(settings, entryvm.Options{Now: time.Now, Boot: boot, Log: log})
+//	if err != nil {
+//		return err
+//	}
+//	return vm.Run(ctx) // until ctx ends, then a graceful stop
+//
+// A VM is safe for concurrent use.
+package entryvm
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/routing"
+	"github.com/hibiscuscove/hibiscuscove/platform"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is over any that operators set; callers close first.
+	idleTimeout = 2 * time.Minute
+	// memoryShare is the part of the VM's memory that the heap may fill. The
+	// rest is for bytes received and not yet read.
+	memoryShare = 0.6
+	mebibyte    = 1 << 20
+)
+
+// Options sets up a VM. Now and Boot are required.
+type Options struct {
+	Now func() time.Time
+	// Boot returns the time since the VM's start, with the time that it slept.
+	Boot func() time.Duration
+	Log  zerolog.Logger
+}
+
+// VM is one entry VM.
+type VM struct {
+	settings    Settings
+	opts        Options
+	log         zerolog.Logger
+	incarnation int64
+
+	store          *platform.Store
+	configuration  *routing.Holder
+	configurations *registry.Follower[routing.Document]
+	upstreams      *roster.Table
+	upstreamFeed   *registry.Follower[roster.Upstream]
+	versions       *registry.Follower[platform.NamedVersion]
+	suspects       *ingress.Suspects
+	keeper         *rollout.Keeper
+	rollout        *rollout.Rollout
+	beacon         *beacon.Beacon
+	packets        net.PacketConn
+	peerClient     *http.Client
+	metrics        metrics.Registry
+	app            *kratos.App
+	callers        *khttp.Server
+	active         atomic.Int64
+	departed       atomic.Int64
+	once           sync.Once
+
+	mu        sync.Mutex
+	suspected []beacon.Suspicion
+	fetching  map[string]bool
+	// leader is the VM that was last seen to give orders, and under which number.
+	leader      string
+	leaderFence uint64
+}
+
+// New builds a VM and opens its addresses.
+func New(s Settings, opts Options) (*VM, error) {
+	v := &VM{
+		settings:      s,
+		opts:          opts,
+		log:           opts.Log.With().Str("vm", s.Name).Logger(),
+		incarnation:   opts.Now().UnixMilli(),
+		store:         platform.NewStore(s.StoreAddress),
+		configuration: &routing.Holder{},
+		suspects:      ingress.NewSuspects(),
+		metrics:       metrics.NewRegistry(),
+		peerClient:    &http.Client{Timeout: snapshotTimeout},
+		fetching:      make(map[string]bool),
+	}
+	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Policy: roster.Policy{
+		ReadTokensPerMS: s.ReadTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
+	}})
+	v.buildFollowers()
+	if err := v.buildBeacon(); err != nil {
+		return nil, err
+	}
+	v.buildRollout()
+	return v, v.buildServers()
+}
+
+func (v *VM) buildFollowers() {
+	v.configurations = registry.NewFollower(registry.Options[routing.Document]{
+		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, Now: v.opts.Now, Log: v.log,
+	})
+	v.upstreamFeed = registry.NewFollower(registry.Options[roster.Upstream]{
+		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, Now: v.opts.Now, Log: v.log,
+	})
+	v.versions = registry.NewFollower(registry.Options[platform.NamedVersion]{
+		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, Log: v.log,
+	})
+}
+
+func (v *VM) peerAddress() string {
+	return net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.PeerPort))
+}
+
+func (v *VM) buildBeacon() error {
+	conn, err := net.ListenPacket("udp", v.peerAddress())
+	if err != nil {
+		return fmt.Errorf("entryvm: %w", err)
+	}
+	v.packets = conn
+	v.beacon = beacon.New(beacon.Options{Conn: conn, Now: v.opts.Now, Compose: v.compose, Receive: v.receive, Log: v.log})
+	v.addSeeds(v.settings)
+	return nil
+}
+
+// addSeeds names the VMs of the settings to the beacon. All VMs use the same ports.
+func (v *VM) addSeeds(s Settings) {
+	for _, seed := range s.Seeds {
+		if at, err := netip.ParseAddrPort(seed); err == nil {
+			v.beacon.Add(v.opts.Now(), netip.AddrPortFrom(at.Addr(), uint16(s.PeerPort)).String())
+		}
+	}
+}
+
+func (v *VM) buildRollout() {
+	dialer := exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(v.settings.ConnectTimeoutMS)})
+	clock := rollout.Clock{Now: v.opts.Now, Boot: v.opts.Boot}
+	v.keeper = rollout.NewKeeper(rollout.LeaseOptions{
+		Book:        platform.LeaseBook{Store: v.store, Name: "rollout"},
+		Clock:       clock,
+		Holder:      v.settings.Name,
+		Incarnation: v.incarnation,
+		Turn:        milliseconds(v.settings.LeaseMS),
+		Log:         v.log,
+	})
+	v.rollout = rollout.New(rollout.Options{
+		Keeper: v.keeper, Engines: platform.Engines{Dialer: dialer}, Upstreams: v.upstreams,
+		Clock: clock, Holder: v.settings.Name, Turn: v.turn, Log: v.log,
+	})
+}
+
+func (v *VM) buildServers() error {
+	retries := ingress.NewRetries(ingress.RetriesOptions{
+		Ratio: v.settings.RetryRatio, Slack: v.settings.RetrySlack, Window: milliseconds(v.settings.RetryWindowMS), VMs: v.beacon.Known,
+	})
+	handler := ingress.NewHandler(ingress.Options{
+		Now:           v.opts.Now,
+		Codec:         platform.Codec{},
+		Configuration: v.configuration,
+		Upstreams:     v.upstreams,
+		Dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(v.settings.ConnectTimeoutMS)}),
+		Retries:       retries,
+		Suspects:      v.suspects,
+		Fleet:         v,
+		Metrics:       v.metrics,
+		Log:           v.log,
+		Leaving:       v.stage,
+	})
+	servers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{v.settings.CallersListen, v.counted(handler)},
+		{v.settings.ReadyListen, platform.Readiness(v.ready)},
+		{v.settings.DirectoryListen, platform.Directory(v.opts.Now, v.find)},
+		{v.settings.ControlListen, v.controlHandler()},
+	}
+	options := []kratos.Option{
+		kratos.Name("hibiscuscove"), kratos.ID(v.settings.Name), kratos.Signal(noSignal{}), kratos.StopTimeout(closeTimeout),
+	}
+	for i, s := range servers {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("entryvm: listen on %s: %w", s.address, err)
+		}
+		watched := ingress.Listener{Listener: listener}
+		if i == 0 {
+			listener = watched
+		}
+		server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+		// Paths reach the handler as callers write them, past kratos's router.
+		server.Handler = s.handler
+		server.ReadHeaderTimeout = readHeaderTimeout
+		server.IdleTimeout = idleTimeout
+		if i == 0 {
+			server.ConnContext = watched.Context
+			server.ConnState = watched.Note
+			v.callers = server
+		}
+		options = append(options, kratos.Server(server))
+	}
+	v.app = kratos.New(options...)
+	return nil
+}
+
+// noSignal is never delivered: the daemon handles signals by its context.
+type noSignal struct{}
+
+// Signal implements os.Signal.
+func (noSignal) Signal() {}
+
+// String implements os.Signal.
+func (noSignal) String() string { return "none" }
+
+// counted counts the requests that are being served.
+func (v *VM) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v.active.Add(1)
+		defer v.active.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run serves until ctx ends, then leaves without cutting a request.
+func (v *VM) Run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	for _, duty := range []func(context.Context){
+		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.enter, v.keepUp,
+	} {
+		wg.Go(func() { duty(duties) })
+	}
+	wg.Go(func() {
+		select {
+		case <-ctx.Done():
+			v.depart()
+			stop()
+			_ = v.app.Stop() // its error is Run's
+		case <-duties.Done():
+		}
+	})
+	v.log.Info().Str("settings", v.settings.String()).Int64("incarnation", v.incarnation).Msg("VM starts")
+	err := v.app.Run()
+	stop()
+	wg.Wait()
+	_ = v.packets.Close()
+	v.log.Info().Msg("VM stopped")
+	if err != nil {
+		return fmt.Errorf("entryvm: run: %w", err)
+	}
+	return nil
+}
+
+// ready reports whether callers may be sent here.
+func (v *VM) ready() bool {
+	return v.departed.Load() == 0 && v.configuration.Current() != nil && v.upstreamFeed.Revision() > 0
+}
--- /dev/null
+++ b/internal/ingress/codec.go
@@ -0,0 +1,85 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+)
+
+// Request is what a caller's head says, whatever its form on the wire.
+type Request struct {
+	// ID is the caller's name for this attempt.
+	ID string
+	// Key is the caller's API key. It never leaves the VM.
+	Key string
+	// Patience is how long the caller waits. Zero stands for no word on it.
+	Patience time.Duration
+	// Model is empty for plain requests.
+	Model string
+	// Parts are the prompt's parts in order. The last one is the request's own.
+	Parts []roster.Part
+	// PromptTokens and OutputTokens are the sizes that the caller announces.
+	PromptTokens, OutputTokens int
+	// ResumeAfter is the ID of the last event that the caller has, or empty.
+	ResumeAfter string
+	// Header holds the fields that pass on to the upstream.
+	Header http.Header
+}
+
+// Shared returns the parts that other requests may have too.
+func (q Request) Shared() []roster.Part {
+	if len(q.Parts) < 2 {
+		return nil
+	}
+	return q.Parts[:len(q.Parts)-1]
+}
+
+// Call is one attempt of a request on an upstream.
+type Call struct {
+	Request      Request
+	Upstream     roster.Upstream
+	Organisation string
+	// Wall separates kept prompts. Requests share them only under the same wall.
+	Wall string
+	// Patience is how long the upstream may work on it.
+	Patience    time.Duration
+	ResumeAfter string
+	// Priority is 0 for the most urgent.
+	Priority int
+}
+
+// Head is what the head of an upstream's answer says.
+type Head struct {
+	// Signed says that an upstream vouches for the answer.
+	Signed bool
+	// NotRun says that the upstream has not run the request and will not.
+	NotRun bool
+	// Misdirected says that another upstream has the address.
+	Misdirected bool
+	// Foreign says that the answer belongs to another request, or to none.
+	Foreign bool
+	// Encoded says that the body is not the upstream's own bytes.
+	Encoded bool
+	// Version is the version of the weights, or 0.
+	Version int64
+	// Events says that the body is a series of events.
+	Events bool
+}
+
+// Codec translates between the callers' and the upstreams' wire and the types
+// of this package. Its implementations are safe for concurrent use.
+type Codec interface {
+	// Decode reads a caller's head. Its error has a verdict.
+	Decode(r *http.Request) (Request, error)
+	// Refuse answers a caller with an error of the router's own.
+	Refuse(w http.ResponseWriter, id string, err *verdict.Error)
+	// Header returns the head of a call.
+	Header(c Call) http.Header
+	// Head reads the head of an answer to a request.
+	Head(id string, a exchange.Answer) Head
+	// Forward copies what passes on of an answer's head.
+	Forward(into, from http.Header)
+}
--- /dev/null
+++ b/internal/ingress/retries.go
@@ -0,0 +1,85 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+)
+
+// RetriesOptions sets up Retries.
+type RetriesOptions struct {
+	// Ratio is how many repeats the platform allows for each request to a service.
+	Ratio float64
+	// Slack is how many repeats it allows in a window besides.
+	Slack float64
+	// Window is the length of the window.
+	Window time.Duration
+	// VMs returns how many VMs share the slack.
+	VMs func() int
+}
+
+// Retries is this VM's share of the budget of repeats that all VMs have, for
+// each service. It is safe for concurrent use.
+type Retries struct {
+	opts RetriesOptions
+
+	mu       sync.Mutex
+	services map[string]*retryWindow
+}
+
+type retryWindow struct {
+	requests []time.Time
+	repeats  []time.Time
+}
+
+// retryShare is the part of the budget that is used; requests in flight
+// between two windows need the rest.
+const retryShare = 0.8
+
+// NewRetries returns Retries.
+func NewRetries(opts RetriesOptions) *Retries {
+	return &Retries{opts: opts, services: make(map[string]*retryWindow)}
+}
+
+// Request counts a caller's request to a service.
+func (r *Retries) Request(now time.Time, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(now, service)
+	w.requests = append(w.requests, now)
+}
+
+// Allow reports whether a request may be sent to the service once more, and
+// counts it if so.
+func (r *Retries) Allow(now time.Time, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(now, service)
+	most := retryShare * (r.opts.Ratio*float64(len(w.requests)) + r.opts.Slack/float64(max(1, r.opts.VMs())))
+	if float64(len(w.repeats)+1) > most {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
+
+func (r *Retries) window(now time.Time, service string) *retryWindow {
+	w := r.services[service]
+	if w == nil {
+		w = &retryWindow{}
+		r.services[service] = w
+	}
+	start := now.Add(-r.opts.Window)
+	w.requests = after(w.requests, start)
+	w.repeats = after(w.repeats, start)
+	return w
+}
+
+// after drops the times up to start.
+func after(times []time.Time, start time.Time) []time.Time {
+	for i, t := range times {
+		if t.After(start) {
+			return times[i:]
+		}
+	}
+	return times[:0]
+}
--- /dev/null
+++ b/internal/rollout/lease.go
@@ -0,0 +1,236 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+)
+
+// Lease is the stored word on who may give orders.
+type Lease struct {
+	Holder      string `json:"holder"`
+	Incarnation int64  `json:"incarnation"`
+	// Fence grows with each new holder.
+	Fence uint64 `json:"fence"`
+	// Renewal grows with each renewal, so that each write changes the object.
+	Renewal  uint64 `json:"renewal"`
+	Released bool   `json:"released"`
+	// Revision is the object's revision in the store. Zero stands for none.
+	Revision uint64 `json:"-"`
+}
+
+// Book keeps the lease in the store.
+type Book interface {
+	// Read returns the lease, or registry.ErrNotFound.
+	Read(ctx context.Context) (Lease, error)
+	// Write replaces the lease if its revision is still l.Revision, and returns
+	// it with its new one. The errors registry.ErrConflict and
+	// registry.ErrRefused mean that nothing was written; after any other the
+	// lease may have been written.
+	Write(ctx context.Context, l Lease) (Lease, error)
+}
+
+// Clock tells both clocks of a VM.
+type Clock struct {
+	// Now is the present time, with the steady clock's reading.
+	Now func() time.Time
+	// Boot is the time since the VM's start, with the time that it slept.
+	Boot func() time.Duration
+}
+
+// LeaseOptions sets up a Keeper. All are required but the log.
+type LeaseOptions struct {
+	Book        Book
+	Clock       Clock
+	Holder      string
+	Incarnation int64
+	// Turn is the least time between the orders of two holders.
+	Turn time.Duration
+	Log  zerolog.Logger
+}
+
+const (
+	// term is how long a holder may give orders after it has sent a renewal
+	// that was confirmed. It is shorter than Turn so that a lost holder is
+	// replaced sooner.
+	term = 1500 * time.Millisecond
+	// renewEvery leaves two more tries within a term.
+	renewEvery = 450 * time.Millisecond
+	// turnMargin covers clocks that run at slightly different speeds, and the
+	// way of an order to its engine.
+	turnMargin = 300 * time.Millisecond
+	leaseCall  = 800 * time.Millisecond
+)
+
+// Keeper holds the lease for one VM. It is safe for concurrent use.
+type Keeper struct {
+	opts LeaseOptions
+
+	mu   sync.Mutex
+	held bool
+	// lease is the last one known, seen since when it has been unchanged.
+	lease Lease
+	seen  time.Time
+	// sent is when the last confirmed renewal was sent, by both clocks.
+	sent     time.Time
+	sentBoot time.Duration
+	// opens is when the first order may be given.
+	opens time.Time
+}
+
+// NewKeeper returns a Keeper that holds nothing.
+func NewKeeper(opts LeaseOptions) *Keeper { return &Keeper{opts: opts} }
+
+// May reports whether this VM may give an order at this moment, and under
+// which number.
+func (k *Keeper) May(now time.Time) (fence uint64, may bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.valid(now) || now.Before(k.opens) {
+		return 0, false
+	}
+	return k.lease.Fence, true
+}
+
+// Holds reports whether this VM holds the lease, though it may have to wait
+// before its first order.
+func (k *Keeper) Holds(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.valid(now)
+}
+
+// valid compares both clocks: the steady one stands still while the VM sleeps.
+func (k *Keeper) valid(now time.Time) bool {
+	return k.held && now.Sub(k.sent) < term && k.opts.Clock.Boot()-k.sentBoot < term
+}
+
+// Fence returns the number of the last lease that this VM had, or 0.
+func (k *Keeper) Fence() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease.Holder != k.opts.Holder || k.lease.Incarnation != k.opts.Incarnation {
+		return 0
+	}
+	return k.lease.Fence
+}
+
+// Acquire takes or renews the lease if that is due and possible.
+func (k *Keeper) Acquire(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	now := k.opts.Clock.Now()
+	k.mu.Lock()
+	if k.held && !k.valid(now) {
+		k.lose(now, "not renewed in time")
+	}
+	held, lease, due := k.held, k.lease, now.Sub(k.sent) >= renewEvery
+	k.mu.Unlock()
+	if held {
+		if !due {
+			return nil
+		}
+		lease.Renewal++
+		return k.write(ctx, lease, k.openTime())
+	}
+	return k.take(ctx)
+}
+
+func (k *Keeper) openTime() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.opens
+}
+
+// take reads the lease and takes it over if its holder has let it go or lapse.
+func (k *Keeper) take(ctx context.Context) error {
+	found, err := k.opts.Book.Read(ctx)
+	now := k.opts.Clock.Now()
+	if errors.Is(err, registry.ErrNotFound) {
+		return k.write(ctx, Lease{Holder: k.opts.Holder, Incarnation: k.opts.Incarnation, Fence: 1}, now)
+	}
+	if err != nil {
+		return fmt.Errorf("rollout: read lease: %w", err)
+	}
+	k.mu.Lock()
+	if found.Revision != k.lease.Revision || k.seen.IsZero() {
+		k.lease = found
+		k.seen = now
+	}
+	unchanged := now.Sub(k.seen)
+	k.mu.Unlock()
+	own := found.Holder == k.opts.Holder
+	if !own && !found.Released && unchanged < term+turnMargin {
+		return nil
+	}
+	opens := now
+	if !own {
+		// The last holder may have given an order until just now.
+		opens = now.Add(k.opts.Turn + turnMargin)
+	}
+	next := Lease{
+		Holder: k.opts.Holder, Incarnation: k.opts.Incarnation, Revision: found.Revision,
+		Fence: found.Fence + 1, Renewal: found.Renewal + 1,
+	}
+	return k.write(ctx, next, opens)
+}
+
+func (k *Keeper) write(ctx context.Context, l Lease, opens time.Time) error {
+	now, boot := k.opts.Clock.Now(), k.opts.Clock.Boot()
+	l.Released = false
+	written, err := k.opts.Book.Write(ctx, l)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		// A renewal in doubt does not count. The lease runs out by itself unless
+		// somebody else has it.
+		if errors.Is(err, registry.ErrConflict) && k.held {
+			k.lose(now, "taken by another")
+		}
+		return fmt.Errorf("rollout: write lease: %w", err)
+	}
+	if !k.held {
+		k.opts.Log.Info().Uint64("fence", written.Fence).Time("opens", opens).Msg("lease taken")
+		k.opens = opens
+	}
+	k.held = true
+	k.lease = written
+	k.seen = now
+	k.sent = now
+	k.sentBoot = boot
+	return nil
+}
+
+// lose forgets the lease. The next one needs a new number.
+func (k *Keeper) lose(now time.Time, reason string) {
+	k.held = false
+	k.seen = time.Time{}
+	k.opts.Log.Warn().Uint64("fence", k.lease.Fence).Dur("since_renewal", now.Sub(k.sent)).Str("reason", reason).Msg("lease lost")
+}
+
+// Release lets the lease go, so that another VM need not wait for its end.
+func (k *Keeper) Release(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	k.mu.Lock()
+	held, lease := k.held, k.lease
+	k.held = false
+	k.seen = time.Time{}
+	k.mu.Unlock()
+	if !held {
+		return nil
+	}
+	lease.Released = true
+	lease.Renewal++
+	if _, err := k.opts.Book.Write(ctx, lease); err != nil {
+		return fmt.Errorf("rollout: release lease: %w", err)
+	}
+	k.opts.Log.Info().Uint64("fence", lease.Fence).Msg("lease released")
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,341 @@
+// Package rollout brings all model engines to the newest weights that operators
+// have named. One VM at a time gives the orders: the holder of a lease.
+//
+// An order may be carried out although it was not answered, and late. It names
+// the number of orders that the engine has had, so that of two copies only one
+// can take effect, and the engine's own report decides what happens next.
+//
+// # Usage
+//
+//	r := rollout.New(rollout.Options{Keeper: keeper, Engines: engines, Upstreams: table, ...})
+//	go r.Run(ctx)
+//
+// A Rollout is safe for concurrent use.
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	Version int64
+	// Busy says that an order is being carried out.
+	Busy bool
+	// Orders counts the orders that the engine has taken.
+	Orders int64
+	Active int
+}
+
+// Order tells an engine to load weights.
+type Order struct {
+	Upstream roster.Upstream
+	Version  int64
+	Holder   string
+	Fence    uint64
+	// Expected is the number of orders that the engine has taken so far.
+	Expected int64
+}
+
+// The errors of Engines.
+var (
+	// ErrDeclined means that the engine has not taken the order.
+	ErrDeclined = errors.New("rollout: order declined")
+	// ErrFenced means that the engine has seen a later holder.
+	ErrFenced = errors.New("rollout: a later holder gives orders")
+)
+
+// Engines speaks to model engines.
+type Engines interface {
+	Report(ctx context.Context, u roster.Upstream) (Report, error)
+	// Load gives an order. After an error other than ErrDeclined and ErrFenced
+	// the order may be carried out, also later.
+	Load(ctx context.Context, o Order) error
+}
+
+// Options sets up a Rollout. All are required but the log.
+type Options struct {
+	Keeper    *Keeper
+	Engines   Engines
+	Upstreams *roster.Table
+	Clock     Clock
+	Holder    string
+	// Turn returns this VM's place in the order in which VMs try to take the
+	// lease, 0 for the first.
+	Turn func(now time.Time) int
+	Log  zerolog.Logger
+}
+
+const (
+	tick = 60 * time.Millisecond
+	// turnPeriod is how long a VM waits for each one that comes before it.
+	turnPeriod = 1200 * time.Millisecond
+	// announceLead is how long before an order the peers are told of it, so
+	// that none of them sends new work there.
+	announceLead = 200 * time.Millisecond
+	reportEvery  = 220 * time.Millisecond
+	callTimeout  = 500 * time.Millisecond
+	// doubtPeriod is how long an order without an answer is left alone.
+	doubtPeriod = 900 * time.Millisecond
+	// changeTimeout bounds one engine's change.
+	changeTimeout = 12 * time.Second
+	// changesShare is one in how many engines may change at once; more of them
+	// slow one another down.
+	changesShare = 6
+	leastChanges = 2
+)
+
+// Rollout is one VM's part in bringing engines up to date.
+type Rollout struct {
+	opts Options
+
+	mu       sync.Mutex
+	changing map[string]bool
+	// progress is when an engine was last seen to change.
+	progress time.Time
+	behind   int
+	// failed is when each engine's last change did not work.
+	failed map[string]time.Time
+}
+
+// New returns a Rollout.
+func New(opts Options) *Rollout {
+	return &Rollout{opts: opts, changing: make(map[string]bool), failed: make(map[string]time.Time)}
+}
+
+// Progress notes that another VM is at work.
+func (r *Rollout) Progress(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress = now
+}
+
+// Working reports whether this VM is changing engines.
+func (r *Rollout) Working(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.changing) > 0 || r.behind > 0 && r.opts.Keeper.Holds(now)
+}
+
+// Changing returns the engines that this VM is changing.
+func (r *Rollout) Changing() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.changing))
+}
+
+// Run works until ctx ends.
+func (r *Rollout) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			if err := r.opts.Keeper.Release(context.WithoutCancel(ctx)); err != nil {
+				r.opts.Log.Warn().Err(err).Msg("lease not released")
+			}
+			return
+		case <-ticker.C:
+			r.step(ctx, &wg)
+		}
+	}
+}
+
+func (r *Rollout) step(ctx context.Context, wg *sync.WaitGroup) {
+	now := r.opts.Clock.Now()
+	behind := r.outdated()
+	r.note(now, len(behind))
+	if len(behind) == 0 {
+		if r.idle() {
+			if err := r.opts.Keeper.Release(ctx); err != nil {
+				r.opts.Log.Warn().Err(err).Msg("lease not released")
+			}
+		}
+		return
+	}
+	if !r.opts.Keeper.Holds(now) && !r.due(now) {
+		return
+	}
+	if err := r.opts.Keeper.Acquire(ctx); err != nil {
+		r.opts.Log.Warn().Err(err).Msg("lease not had")
+		return
+	}
+	if _, may := r.opts.Keeper.May(r.opts.Clock.Now()); !may {
+		return
+	}
+	for _, u := range r.next(now, behind) {
+		wg.Go(func() { r.change(ctx, u) })
+	}
+}
+
+func (r *Rollout) idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.changing) == 0
+}
+
+// note keeps account of engines that have caught up.
+func (r *Rollout) note(now time.Time, behind int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if behind != r.behind {
+		r.behind = behind
+		r.progress = now
+	}
+}
+
+// due reports whether it is this VM's turn: nobody has made progress for as
+// long as the VMs before it had to begin.
+func (r *Rollout) due(now time.Time) bool {
+	turn := r.opts.Turn(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.progress) >= time.Duration(turn)*turnPeriod
+}
+
+// outdated returns the engines with older weights than named.
+func (r *Rollout) outdated() []roster.Upstream {
+	var list []roster.Upstream
+	for _, u := range r.opts.Upstreams.All() {
+		if u.Model == "" || u.Leaving {
+			continue
+		}
+		if named, _ := r.opts.Upstreams.Named(u.Model); u.Version < named {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// next marks and returns the engines whose change begins now: the least busy first.
+func (r *Rollout) next(now time.Time, behind []roster.Upstream) []roster.Upstream {
+	const failedPause = 700 * time.Millisecond
+	engines := 0
+	for _, u := range r.opts.Upstreams.All() {
+		if u.Model != "" {
+			engines++
+		}
+	}
+	avoided := r.opts.Upstreams.Avoided(now)
+	load := r.opts.Upstreams.TotalLoad(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	free := max(leastChanges, (engines+changesShare-1)/changesShare) - len(r.changing)
+	behind = slices.DeleteFunc(behind, func(u roster.Upstream) bool {
+		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID)
+	})
+	slices.SortFunc(behind, func(a, b roster.Upstream) int {
+		return cmp.Or(cmp.Compare(load[a.ID].Requests, load[b.ID].Requests), cmp.Compare(a.ID, b.ID))
+	})
+	behind = behind[:max(0, min(free, len(behind)))]
+	for _, u := range behind {
+		r.changing[u.ID] = true
+	}
+	return behind
+}
+
+// change brings one engine up to date, or gives up for now.
+func (r *Rollout) change(ctx context.Context, u roster.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := r.order(ctx, u)
+	now := r.opts.Clock.Now()
+	if err != nil {
+		r.opts.Log.Warn().Str("upstream", u.ID).Err(err).Msg("engine not brought up to date")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.changing, u.ID)
+	r.progress = now
+	if err != nil {
+		r.failed[u.ID] = now
+	}
+}
+
+// order gives the order and follows the engine's reports until it holds.
+func (r *Rollout) order(ctx context.Context, u roster.Upstream) error {
+	var given time.Time // when the last order was given
+	var at int64        // the count that it expected
+	announced := false
+	for {
+		report, err := r.report(ctx, u)
+		if err != nil {
+			return err
+		}
+		r.opts.Upstreams.SawVersion(u.ID, u.Born, report.Version)
+		named, _ := r.opts.Upstreams.Named(u.Model)
+		if report.Version >= named {
+			r.opts.Log.Info().Str("upstream", u.ID).Int64("version", report.Version).Msg("engine is up to date")
+			return nil
+		}
+		now := r.opts.Clock.Now()
+		r.opts.Upstreams.SetLoading(now, u.ID)
+		inDoubt := !given.IsZero() && report.Orders == at && now.Sub(given) < doubtPeriod
+		switch {
+		case report.Busy || inDoubt:
+			if !pause(ctx, reportEvery) {
+				return ctx.Err()
+			}
+			continue
+		case !announced:
+			announced = true
+			if !pause(ctx, announceLead) {
+				return ctx.Err()
+			}
+		}
+		if err := r.give(ctx, u, named, report.Orders); err != nil {
+			return err
+		}
+		given, at = r.opts.Clock.Now(), report.Orders
+		if !pause(ctx, reportEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Rollout) report(ctx context.Context, u roster.Upstream) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.opts.Engines.Report(ctx, u)
+}
+
+// give gives one order. An order in doubt is no error: reports tell.
+func (r *Rollout) give(ctx context.Context, u roster.Upstream, version, expected int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	fence, may := r.opts.Keeper.May(r.opts.Clock.Now())
+	if !may {
+		return errors.New("rollout: the lease is not held")
+	}
+	err := r.opts.Engines.Load(ctx, Order{Upstream: u, Version: version, Holder: r.opts.Holder, Fence: fence, Expected: expected})
+	r.opts.Log.Info().Str("upstream", u.ID).Int64("version", version).Int64("expected", expected).Uint64("fence", fence).
+		AnErr("error", err).Msg("order given")
+	if errors.Is(err, ErrDeclined) || errors.Is(err, ErrFenced) {
+		return err
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/roster/pick.go
@@ -0,0 +1,183 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Policy weighs the upstreams of a service. Costs are in milliseconds until
+// the first token. The zero value stands for the defaults.
+type Policy struct {
+	// ReadTokensPerMS is how fast an engine reads a prompt.
+	ReadTokensPerMS float64
+	// SharedWeight multiplies the cost of reading shared parts anew, which
+	// others pay for as well.
+	SharedWeight float64
+	// DistanceMS is added for an upstream in another data centre.
+	DistanceMS float64
+	// RunningMS is added for each request that runs there.
+	RunningMS float64
+	// OutdatedMS is added for an engine with older weights than named.
+	OutdatedMS float64
+	// PlainMS is added for each request on a plain service.
+	PlainMS float64
+}
+
+func (p Policy) withDefaults() Policy {
+	set := func(field *float64, value float64) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	set(&p.ReadTokensPerMS, 75)
+	set(&p.SharedWeight, 2)
+	set(&p.DistanceMS, 10)
+	set(&p.RunningMS, 3)
+	set(&p.OutdatedMS, 100)
+	set(&p.PlainMS, 20)
+	return p
+}
+
+// Costs that put an upstream behind all that lack the fault, in milliseconds.
+const (
+	fullMS    = 400
+	lapsedMS  = 5_000
+	avoidedMS = 20_000
+	loadingMS = 50_000
+)
+
+// homeShare is the part of a prompt's unknown shared parts that its home is
+// thought to lack.
+const homeShare = 0.3
+
+// Query asks for an upstream.
+type Query struct {
+	Service string
+	// Parts are the shared parts of the prompt, outermost first.
+	Parts []Part
+	// OwnTokens are the prompt's other tokens, OutputTokens the most that come out.
+	OwnTokens, OutputTokens int
+	Model                   string
+	// MinVersion leaves out engines with older weights.
+	MinVersion int64
+	// Without names the upstreams that have been tried.
+	Without []string
+}
+
+// Choice is an upstream and why it was picked.
+type Choice struct {
+	Upstream Upstream
+	// CostMS is the estimate that decided, in milliseconds.
+	CostMS float64
+	// MissingTokens are the tokens that it is thought to have to read.
+	MissingTokens int
+	// Places says how many requests fit beside those that are there.
+	Places int
+	// Candidates is how many upstreams were weighed.
+	Candidates int
+	// Fit is false if the upstream is a last resort: avoided, lapsed or loading.
+	Fit bool
+}
+
+// Pick returns the upstream where the request costs least.
+func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*member
+	for _, m := range t.members {
+		u := m.upstream
+		if u.Service != q.Service || u.Leaving || u.Version < q.MinVersion || slices.Contains(q.Without, u.ID) {
+			continue
+		}
+		list = append(list, m)
+	}
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	home := t.home(list, q)
+	best := Choice{}
+	for _, m := range list {
+		c := t.cost(now, m, q, m == home)
+		if best.Candidates == 0 || c.CostMS < best.CostMS ||
+			c.CostMS == best.CostMS && strings.Compare(c.Upstream.ID, best.Upstream.ID) < 0 {
+			best = c
+			best.Candidates = len(list)
+		}
+	}
+	return best, true
+}
+
+// home returns the upstream that the prompt's innermost shared part belongs to
+// by rendezvous hashing, so that VMs that know nothing agree.
+func (t *Table) home(list []*member, q Query) *member {
+	if len(q.Parts) == 0 {
+		return nil
+	}
+	key := q.Parts[len(q.Parts)-1].ID
+	return slices.MaxFunc(list, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), strings.Compare(a.upstream.ID, b.upstream.ID))
+	})
+}
+
+func rank(key string, m *member) uint64 { return xxhash.Sum64String(key + "/" + m.upstream.ID) }
+
+func (t *Table) cost(now time.Time, m *member, q Query, home bool) Choice {
+	p := t.opts.Policy
+	u := m.upstream
+	load := m.total(now)
+	c := Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true}
+	if u.DataCentre != t.opts.DataCentre {
+		c.CostMS += p.DistanceMS
+	}
+	if q.Model != "" {
+		c.CostMS += t.engineCost(&c, m, load, q, home)
+	} else {
+		c.CostMS += p.PlainMS * float64(load.Requests)
+	}
+	if c.Places <= 0 {
+		c.CostMS += fullMS * (1 - float64(c.Places)/float64(max(1, u.Slots)))
+	}
+	for _, fault := range []struct {
+		is   bool
+		cost float64
+	}{
+		{!m.lapsed.IsZero(), lapsedMS},
+		{m.avoid.After(now), avoidedMS},
+		{m.isLoading(now), loadingMS},
+	} {
+		if fault.is {
+			c.CostMS += fault.cost
+			c.Fit = false
+		}
+	}
+	return c
+}
+
+// engineCost estimates when the first token comes: what waits there is read
+// first, then what the engine lacks of the prompt.
+func (t *Table) engineCost(c *Choice, m *member, load Load, q Query, home bool) float64 {
+	p := t.opts.Policy
+	shared := 0
+	for _, part := range q.Parts {
+		shared += part.Tokens
+	}
+	missing := float64(shared - m.kept.have(q.Parts))
+	if home && missing == float64(shared) {
+		missing *= homeShare
+	}
+	c.MissingTokens = int(missing) + q.OwnTokens
+	cost := (float64(load.WaitingTokens) + p.SharedWeight*missing + float64(q.OwnTokens)) / p.ReadTokensPerMS
+	cost += p.RunningMS * float64(load.Requests)
+	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
+		cost += p.OutdatedMS
+	}
+	capacity := t.caches[m.upstream.Service]
+	if need := load.Tokens + shared + q.OwnTokens + q.OutputTokens; capacity > 0 && need > capacity {
+		cost += fullMS * float64(need) / float64(capacity)
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,358 @@
+// Package roster keeps the upstreams of host-and-path traffic: who they are,
+// what this VM and its peers have on them, what prompt text they hold, and
+// which of them a request goes to.
+//
+// # Usage
+//
+//	table := roster.New(roster.Options{})
+//	table.Replace(now, upstreams)
+//	u, found := table.Pick(now, roster.Query{Service: "lm", Parts: parts})
+//	stay := table.Begin(now, u, load)
+//	defer stay.End()
+//
+// A Table is safe for concurrent use. Each function that decides takes the
+// present time as an argument.
+package roster
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Part is a run of a prompt's tokens that requests share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Upstream is one model engine or plain service.
+type Upstream struct {
+	ID, Service, Address, DataCentre string
+	Slots                            int
+	// Leaving upstreams take no new work.
+	Leaving bool
+	// Born tells the starts of one ID apart.
+	Born int64
+	// Model and Version are the weights of an engine. Both are empty for plain services.
+	Model   string
+	Version int64
+}
+
+// Incarnation names one start of the upstream.
+func (u Upstream) Incarnation() string { return u.ID + "@" + strconv.FormatInt(u.Born, 10) }
+
+// Load is what requests weigh on an upstream.
+type Load struct {
+	// Requests is the number of requests.
+	Requests int
+	// WaitingTokens are the tokens that must be read before the first tokens
+	// of the requests come.
+	WaitingTokens int
+	// Tokens are all tokens of the requests, in and out.
+	Tokens int
+}
+
+func (l Load) plus(m Load) Load {
+	return Load{l.Requests + m.Requests, l.WaitingTokens + m.WaitingTokens, l.Tokens + m.Tokens}
+}
+
+const (
+	// peerLoadLifetime is how long a peer's word on its requests counts.
+	peerLoadLifetime = time.Second
+	avoidLeast       = 700 * time.Millisecond
+	avoidMost        = 5 * time.Second
+	// lapseHold is how long an upstream whose entry went during an outage of the
+	// store stays a last resort. Entries of live ones are back within 2 s.
+	lapseHold = 1800 * time.Millisecond
+	// loadingHold bounds the belief that an engine is changing its weights.
+	loadingHold = 4 * time.Second
+)
+
+type member struct {
+	upstream Upstream
+	own      Load
+	peers    map[string]peerLoad
+	kept     *keptParts
+	// avoid is until when the upstream is passed over, after a failed connection.
+	avoid    time.Time
+	failures int
+	// lapsed is when the entry was lost during an outage of the store.
+	lapsed  time.Time
+	loading time.Time
+	wrongAt time.Time
+}
+
+type peerLoad struct {
+	load Load
+	at   time.Time
+}
+
+// Options sets up a Table. The zero value works.
+type Options struct {
+	// DataCentre is this VM's.
+	DataCentre string
+	// Policy weighs the upstreams.
+	Policy Policy
+}
+
+// Table holds the upstreams.
+type Table struct {
+	opts Options
+
+	mu      sync.Mutex
+	members map[string]*member
+	// named is the newest version of each model, and since when it is known.
+	named map[string]namedVersion
+	// caches are the tokens of memory of each service's upstreams.
+	caches map[string]int
+	sent   []Sent
+}
+
+type namedVersion struct {
+	version int64
+	since   time.Time
+}
+
+// New returns an empty Table.
+func New(opts Options) *Table {
+	opts.Policy = opts.Policy.withDefaults()
+	return &Table{
+		opts:    opts,
+		members: make(map[string]*member),
+		named:   make(map[string]namedVersion),
+		caches:  make(map[string]int),
+	}
+}
+
+// SetCache tells how many tokens the engines of a service keep.
+func (t *Table) SetCache(service string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.caches[service] = tokens
+}
+
+// Change is what the store's news did to one upstream.
+type Change struct {
+	Upstream Upstream
+	What     ChangeKind
+	// Ended is the incarnation that has ended, or empty.
+	Ended string
+}
+
+// ChangeKind tells the changes apart.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Added     ChangeKind = "added"
+	Changed   ChangeKind = "changed"
+	Restarted ChangeKind = "restarted"
+	Removed   ChangeKind = "removed"
+	Lapsed    ChangeKind = "lapsed"
+)
+
+// Replace takes the store's whole list. Upstreams that it lacks are gone, or,
+// with lapse, stay a last resort for a moment: after an outage of the store the
+// entries of live upstreams come back.
+func (t *Table) Replace(now time.Time, list []Upstream, lapse bool) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
+		changes = t.put(changes, u)
+	}
+	for id := range t.members {
+		if !listed[id] {
+			changes = t.drop(changes, now, id, lapse)
+		}
+	}
+	return changes
+}
+
+// Put takes one upstream's entry.
+func (t *Table) Put(u Upstream) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.put(nil, u)
+}
+
+// Remove takes the end of an upstream's entry.
+func (t *Table) Remove(now time.Time, id string, lapse bool) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.drop(nil, now, id, lapse)
+}
+
+func (t *Table) put(changes []Change, u Upstream) []Change {
+	m := t.members[u.ID]
+	if m == nil {
+		t.members[u.ID] = &member{upstream: u, peers: make(map[string]peerLoad), kept: newKeptParts()}
+		return append(changes, Change{Upstream: u, What: Added})
+	}
+	old := m.upstream
+	m.lapsed = time.Time{}
+	if old == u {
+		return changes
+	}
+	m.upstream = u
+	switch {
+	case old.Born != u.Born || old.Address != u.Address:
+		*m = member{upstream: u, peers: make(map[string]peerLoad), kept: newKeptParts(), own: m.own}
+		return append(changes, Change{Upstream: u, What: Restarted, Ended: old.Incarnation()})
+	case old.Version > u.Version:
+		// What an answer or a report said of the weights is newer than the list.
+		m.upstream.Version = old.Version
+	case old.Version != u.Version:
+		m.kept = newKeptParts()
+		m.loading = time.Time{}
+	}
+	return append(changes, Change{Upstream: u, What: Changed})
+}
+
+func (t *Table) drop(changes []Change, now time.Time, id string, lapse bool) []Change {
+	m := t.members[id]
+	if m == nil {
+		return changes
+	}
+	if lapse && !m.upstream.Leaving {
+		if m.lapsed.IsZero() {
+			m.lapsed = now
+			changes = append(changes, Change{Upstream: m.upstream, What: Lapsed, Ended: m.upstream.Incarnation()})
+		}
+		return changes
+	}
+	delete(t.members, id)
+	return append(changes, Change{Upstream: m.upstream, What: Removed, Ended: m.upstream.Incarnation()})
+}
+
+// Expire drops the upstreams whose entries have not come back.
+func (t *Table) Expire(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for id, m := range t.members {
+		if !m.lapsed.IsZero() && now.Sub(m.lapsed) > lapseHold {
+			changes = t.drop(changes, now, id, false)
+		}
+	}
+	return changes
+}
+
+// All returns the upstreams, ordered by ID.
+func (t *Table) All() []Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Upstream, 0, len(t.members))
+	for _, m := range t.members {
+		list = append(list, m.upstream)
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// SetNamed takes the newest version of a model's weights.
+func (t *Table) SetNamed(now time.Time, model string, version int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.named[model]; version <= old.version {
+		return false
+	}
+	t.named[model] = namedVersion{version, now}
+	return true
+}
+
+// Named returns the newest version of a model's weights and since when this
+// VM has known it.
+func (t *Table) Named(model string) (int64, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.named[model]
+	return n.version, n.since
+}
+
+// SawVersion takes the weights that an answer or a report of an upstream shows.
+func (t *Table) SawVersion(id string, born, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil || m.upstream.Born != born || version <= m.upstream.Version {
+		return
+	}
+	m.upstream.Version = version
+	m.kept = newKeptParts()
+	m.loading = time.Time{}
+}
+
+// SetLoading says that an engine is about to change its weights.
+func (t *Table) SetLoading(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.loading = now
+	}
+}
+
+// Loading returns the engines that are changing their weights.
+func (t *Table) Loading(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, m := range t.members {
+		if m.isLoading(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (m *member) isLoading(now time.Time) bool {
+	return !m.loading.IsZero() && now.Sub(m.loading) < loadingHold
+}
+
+// Unreachable says that a connection to the upstream failed. It is passed over
+// for a time that doubles with each failure.
+func (t *Table) Unreachable(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil && !m.avoid.After(now) {
+		m.avoid = now.Add(min(avoidMost, avoidLeast<<m.failures))
+		m.failures = min(m.failures+1, 4)
+	}
+}
+
+// Wrong says that the upstream is not the one listed at its address.
+func (t *Table) Wrong(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.avoid = now.Add(avoidMost)
+	}
+}
+
+// Avoided returns the upstreams that this VM passes over.
+func (t *Table) Avoided(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, m := range t.members {
+		if m.avoid.After(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Reached says that the upstream has answered.
+func (t *Table) Reached(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.avoid = time.Time{}
+		m.failures = 0
+	}
+}
