--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -39,7 +39,7 @@
 	Leaving  State = "leaving"
 )
 
-// Revisions are how far a VM has come in each collection of the store.
+// Revisions are those of the last changes that a VM knows of each collection.
 type Revisions struct {
 	Configuration uint64 `json:"configuration"`
 	Upstreams     uint64 `json:"upstreams"`
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -36,7 +36,7 @@
 	m := beacon.Message{
 		Name: v.settings.Name, Incarnation: v.incarnation, Address: v.peerAddress(), Control: v.settings.ControlListen,
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
-		Revisions: v.revisions(), Loads: make(map[string][3]int),
+		Revisions: v.changedAt(), Loads: make(map[string][3]int),
 		Sent: v.upstreams.TakeSent(), Avoided: v.upstreams.Avoided(now),
 	}
 	switch {
@@ -68,6 +68,13 @@
 	}
 }
 
+// changedAt returns the revisions of the last changes that this VM knows.
+func (v *VM) changedAt() beacon.Revisions {
+	return beacon.Revisions{
+		Configuration: v.configurations.Changed(), Upstreams: v.upstreamFeed.Changed(), Versions: v.versions.Changed(),
+	}
+}
+
 // receive takes a peer's beacon.
 func (v *VM) receive(now time.Time, m beacon.Message) {
 	loads := make(map[string]roster.Load, len(m.Loads))
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -26,6 +27,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -197,9 +199,7 @@
 		{v.settings.DirectoryListen, platform.Directory(v.opts.Now, v.find)},
 		{v.settings.ControlListen, v.controlHandler()},
 	}
-	options := []kratos.Option{
-		kratos.Name("hibiscuscove"), kratos.ID(v.settings.Name), kratos.Signal(noSignal{}), kratos.StopTimeout(closeTimeout),
-	}
+	var all []transport.Server
 	for i, s := range servers {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
@@ -209,7 +209,10 @@
 		if i == 0 {
 			listener = watched
 		}
-		server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+		// The endpoint is named since kratos would list the machine's links to
+		// find it, which not every platform allows.
+		endpoint := &url.URL{Scheme: "http", Host: s.address}
+		server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
 		// Paths reach the handler as callers write them, past kratos's router.
 		server.Handler = s.handler
 		server.ReadHeaderTimeout = readHeaderTimeout
@@ -219,9 +222,10 @@
 			server.ConnState = watched.Note
 			v.callers = server
 		}
-		options = append(options, kratos.Server(server))
+		all = append(all, server)
 	}
-	v.app = kratos.New(options...)
+	v.app = kratos.New(kratos.Name("hibiscuscove"), kratos.ID(v.settings.Name), kratos.Signal(noSignal{}),
+		kratos.StopTimeout(closeTimeout), kratos.Server(all...))
 	return nil
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -95,7 +95,9 @@
 
 	mu       sync.Mutex
 	revision uint64
-	items    map[string]Item[T]
+	// changed is the revision at which the collection last differed.
+	changed uint64
+	items   map[string]Item[T]
 	// failing is since when calls have failed; returned is when they worked again.
 	failing, returned time.Time
 }
@@ -112,6 +114,14 @@
 	return f.revision
 }
 
+// Changed returns the revision by which the last known change had been made.
+// Revision grows also while nothing changes here.
+func (f *Follower[T]) Changed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // Healthy reports whether the last call to the store worked.
 func (f *Follower[T]) Healthy() bool {
 	f.mu.Lock()
@@ -225,6 +235,7 @@
 	clear(f.items)
 	for _, item := range page.Items {
 		f.items[item.Name] = item
+		f.changed = max(f.changed, item.Revision)
 	}
 	f.opts.Sink.Replace(now, page, f.lapse(now))
 }
@@ -246,6 +257,7 @@
 		}
 	}
 	if len(page.Items) > 0 {
+		f.changed = page.Revision
 		f.opts.Sink.Apply(now, page, f.lapse(now))
 	}
 }
