internal/cachemap, internal/roster: kept prompts are found, fetched and saved

Change: engines' and the store's waiting event calls tell what is kept; a request names the best source of its weights and wall, and the store gets what is read anew. Salts carry weights and wall. Also: rollouts free engines of work before they order, oldest weights first; a VM that says itself that it lost the lease is followed without waiting.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -66,12 +66,15 @@
 	// Loads holds requests, waiting tokens and tokens for each upstream in use.
 	Loads map[string][3]int `json:"loads,omitempty"`
 	Sent  []roster.Sent     `json:"sent,omitempty"`
-	// Leading is the number of the lease under which the VM changes engines,
-	// and Loading are those that it is changing.
-	Leading   uint64      `json:"leading,omitempty"`
-	Loading   []string    `json:"loading,omitempty"`
-	Avoided   []string    `json:"avoided,omitempty"`
-	Suspected []Suspicion `json:"suspected,omitempty"`
+	// LastFence is the number of the last lease that the VM had. Leading is the
+	// same while it may give orders under it, else 0. Loading are the engines
+	// that it is changing.
+	LastFence uint64        `json:"last_fence,omitempty"`
+	Leading   uint64        `json:"leading,omitempty"`
+	Loading   []string      `json:"loading,omitempty"`
+	Updated   []roster.Seen `json:"updated,omitempty"`
+	Avoided   []string      `json:"avoided,omitempty"`
+	Suspected []Suspicion   `json:"suspected,omitempty"`
 	// Peers are addresses of other VMs.
 	Peers []string `json:"peers,omitempty"`
 }
--- /dev/null
+++ b/internal/cachemap/cachemap.go
@@ -0,0 +1,198 @@
+// Package cachemap follows what model engines say of the prompt memory that
+// they keep, so that requests go where their shared parts lie.
+//
+// An engine's events come late and a few never come. They correct what is
+// known from sending; they are no base for anything that must be right.
+//
+// # Usage
+//
+//	m := cachemap.New(cachemap.Options{Source: source, Upstreams: table, Now: time.Now})
+//	go m.Run(ctx)
+//
+// A Map is safe for concurrent use.
+package cachemap
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+// Batch is a run of events of one start of an engine.
+type Batch struct {
+	// Epoch changes when the engine starts anew.
+	Epoch uint64
+	// Next is where the following batch begins.
+	Next uint64
+	// Lost says that events before these are gone.
+	Lost bool
+	Kept []roster.KeptPart
+}
+
+// Source reads events. Its implementations are safe for concurrent use.
+type Source interface {
+	// Events waits for events since a number, at most for wait.
+	Events(ctx context.Context, u roster.Upstream, since uint64, wait time.Duration) (Batch, error)
+}
+
+const (
+	// scanEvery is how often new engines are looked for.
+	scanEvery = 300 * time.Millisecond
+	eventWait = time.Second
+	callSlack = 600 * time.Millisecond
+	// restPeriod gathers events, so that a busy engine costs few calls.
+	restPeriod = 120 * time.Millisecond
+	failPause  = time.Second
+	// maxFollowers is how many VMs follow one engine at most; engines turn more
+	// than about that many away.
+	maxFollowers = 10
+)
+
+// Options sets up a Map. All are required but the log.
+type Options struct {
+	Source    Source
+	Upstreams *roster.Table
+	Now       func() time.Time
+	// VMs returns how many VMs there are.
+	VMs func() int
+	Log zerolog.Logger
+}
+
+// Map follows the engines' events.
+type Map struct {
+	opts Options
+
+	mu        sync.Mutex
+	following map[string]context.CancelFunc
+	draws     map[string]float64
+}
+
+// New returns a Map.
+func New(opts Options) *Map {
+	return &Map{opts: opts, following: make(map[string]context.CancelFunc), draws: make(map[string]float64)}
+}
+
+// Run follows engines until ctx ends.
+func (m *Map) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(scanEvery)
+	defer ticker.Stop()
+	wg.Go(func() { m.followStore(ctx) })
+	for {
+		m.scan(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// scan begins to follow engines that are new and leaves those that are gone.
+func (m *Map) scan(ctx context.Context, wg *sync.WaitGroup) {
+	share := float64(maxFollowers) / float64(max(1, m.opts.VMs()))
+	listed := make(map[string]bool)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, u := range m.opts.Upstreams.All() {
+		if u.Model == "" {
+			continue
+		}
+		key := u.Incarnation()
+		listed[key] = true
+		if m.following[key] != nil {
+			continue
+		}
+		if _, drawn := m.draws[key]; !drawn {
+			m.draws[key] = rand.Float64()
+		}
+		if m.draws[key] >= share {
+			continue
+		}
+		following, cancel := context.WithCancel(ctx)
+		m.following[key] = cancel
+		wg.Go(func() { m.follow(following, u) })
+	}
+	for key, cancel := range m.following {
+		if !listed[key] {
+			cancel()
+			delete(m.following, key)
+			delete(m.draws, key)
+		}
+	}
+}
+
+// follow takes the events of one start of an engine.
+func (m *Map) follow(ctx context.Context, u roster.Upstream) {
+	var since, epoch uint64
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, eventWait+callSlack)
+		batch, err := m.opts.Source.Events(call, u, since, eventWait)
+		cancel()
+		if err != nil {
+			m.opts.Log.Debug().Str("upstream", u.ID).Err(err).Msg("cache events not read")
+			sleep(ctx, failPause/2+rand.N(failPause))
+			continue
+		}
+		if epoch != 0 && batch.Epoch != epoch {
+			m.opts.Upstreams.ForgetKept(u.ID, u.Born)
+			since = 0
+		}
+		if batch.Lost && since > 0 {
+			m.opts.Log.Debug().Str("upstream", u.ID).Uint64("since", since).Msg("cache events lost")
+		}
+		epoch, since = batch.Epoch, batch.Next
+		m.opts.Upstreams.SetKept(m.opts.Now(), u.ID, u.Born, batch.Kept)
+		sleep(ctx, restPeriod)
+	}
+}
+
+// followStore takes the events of the store of kept prompts, if there is one,
+// and whether it answers at all.
+func (m *Map) followStore(ctx context.Context) {
+	var since, epoch uint64
+	for ctx.Err() == nil {
+		u, found := m.opts.Upstreams.Store()
+		if !found || float64(maxFollowers) < float64(m.opts.VMs())*rand.Float64() {
+			sleep(ctx, scanEvery)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, eventWait+callSlack)
+		batch, err := m.opts.Source.Events(call, u, since, eventWait)
+		cancel()
+		if err != nil {
+			m.opts.Upstreams.SetStoreUp(false)
+			m.opts.Log.Warn().Str("store", u.Address).Err(err).Msg("store of kept prompts lost")
+			since, epoch = 0, 0
+			sleep(ctx, failPause/2+rand.N(failPause))
+			continue
+		}
+		if batch.Epoch != epoch {
+			m.opts.Upstreams.SetStoreUp(false)
+			m.opts.Upstreams.SetStoreUp(true)
+			m.opts.Log.Info().Str("store", u.Address).Uint64("epoch", batch.Epoch).Msg("store of kept prompts follows")
+			if epoch != 0 {
+				since, epoch = 0, batch.Epoch
+				continue
+			}
+		}
+		epoch, since = batch.Epoch, batch.Next
+		m.opts.Upstreams.SetStored(m.opts.Now(), batch.Kept)
+		sleep(ctx, restPeriod)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -38,6 +38,7 @@
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.changedAt(), Loads: make(map[string][3]int),
 		Sent: v.upstreams.TakeSent(), Avoided: v.upstreams.Avoided(now),
+		Updated: v.upstreams.Updated(now),
 	}
 	switch {
 	case v.departed.Load() != 0:
@@ -51,8 +52,9 @@
 	if len(m.Sent) > maxSentTold {
 		m.Sent = m.Sent[len(m.Sent)-maxSentTold:]
 	}
+	m.LastFence = v.keeper.Fence()
 	if v.rollout.Working(now) {
-		m.Leading = v.keeper.Fence()
+		m.Leading = m.LastFence
 		m.Loading = v.rollout.Changing()
 	}
 	v.mu.Lock()
@@ -85,6 +87,9 @@
 	for _, id := range m.Loading {
 		v.upstreams.SetLoading(now, id)
 	}
+	for _, u := range m.Updated {
+		v.upstreams.SawVersion(now, u.ID, u.Born, u.Version)
+	}
 	for _, s := range m.Suspected {
 		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
 	}
@@ -260,6 +265,17 @@
 	return slices.Index(names, v.settings.Name)
 }
 
+// resigned reports whether a VM's own beacon says that it no longer holds the
+// lease of a number that it did hold.
+func (v *VM) resigned(holder string, incarnation int64, fence uint64) bool {
+	for _, p := range v.beacon.Alive(v.opts.Now()) {
+		if p.Name == holder {
+			return p.Incarnation == incarnation && p.LastFence >= fence && p.Leading == 0 || p.Incarnation > incarnation
+		}
+	}
+	return false
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -30,9 +30,16 @@
 		if !v.configuration.Offer(c) {
 			continue
 		}
+		var store roster.Upstream
+		stored := 0
 		for _, s := range c.Services() {
+			if s.StoreAddress != "" {
+				store = roster.Upstream{ID: s.Name, Service: s.Name, Address: s.StoreAddress, DataCentre: s.DataCentre}
+				stored = s.CacheTokens
+			}
 			v.upstreams.SetCache(s.Name, s.CacheTokens)
 		}
+		v.upstreams.SetStore(store, stored)
 		v.log.Info().Uint64("revision", c.Revision()).Int64("version", c.Version()).Int("routes", len(item.Value.Routes)).
 			Msg("configuration in force")
 	}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -33,6 +33,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/cachemap"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -76,6 +77,7 @@
 	suspects       *ingress.Suspects
 	keeper         *rollout.Keeper
 	rollout        *rollout.Rollout
+	cachemap       *cachemap.Map
 	beacon         *beacon.Beacon
 	packets        net.PacketConn
 	peerClient     *http.Client
@@ -117,6 +119,9 @@
 		return nil, err
 	}
 	v.buildRollout()
+	v.cachemap = cachemap.New(cachemap.Options{
+		Source: platform.NewCacheEvents(), Upstreams: v.upstreams, Now: v.opts.Now, VMs: v.beacon.Known, Log: v.log,
+	})
 	return v, v.buildServers()
 }
 
@@ -165,6 +170,7 @@
 		Holder:      v.settings.Name,
 		Incarnation: v.incarnation,
 		Turn:        milliseconds(v.settings.LeaseMS),
+		Resigned:    v.resigned,
 		Log:         v.log,
 	})
 	v.rollout = rollout.New(rollout.Options{
@@ -253,7 +259,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.enter, v.keepUp,
+		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.cachemap.Run, v.enter, v.keepUp,
 	} {
 		wg.Go(func() { duty(duties) })
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -49,7 +49,7 @@
 		return a.turnedAway(answer, head)
 	}
 	if head.Version > 0 {
-		a.h.opts.Upstreams.SawVersion(a.upstream.ID, a.upstream.Born, head.Version)
+		a.h.opts.Upstreams.SawVersion(a.h.opts.Now(), a.upstream.ID, a.upstream.Born, head.Version)
 	}
 	if head.Events && answer.Status == http.StatusOK {
 		if !head.Signed || head.Encoded {
@@ -78,6 +78,9 @@
 	if head.Misdirected {
 		a.h.opts.Upstreams.Wrong(a.h.opts.Now(), a.upstream.ID)
 	}
+	if head.Version > 0 {
+		a.h.opts.Upstreams.SawVersion(a.h.opts.Now(), a.upstream.ID, a.upstream.Born, head.Version)
+	}
 	a.h.count("rejections." + strconv.Itoa(answer.Status))
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRejected,
 		fmt.Sprintf("the upstream turned the request away with status %d", answer.Status))
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -49,6 +49,10 @@
 	ResumeAfter string
 	// Priority is 0 for the most urgent.
 	Priority int
+	// FetchFrom is the address of an engine that keeps more of the prompt, or empty.
+	FetchFrom string
+	// SaveTo is the address of the store that gets what is read anew, or empty.
+	SaveTo string
 }
 
 // Head is what the head of an upstream's answer says.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -194,7 +194,7 @@
 	}
 	parts := make([]roster.Part, len(shared))
 	for i, p := range shared {
-		parts[i] = roster.Part{ID: j.organisation.Name + "/" + p.ID, Tokens: p.Tokens}
+		parts[i] = roster.Part{ID: roster.WalledID(j.organisation.Name, p.ID), Tokens: p.Tokens}
 	}
 	return parts
 }
@@ -230,11 +230,11 @@
 		Requests:      1,
 		WaitingTokens: choice.MissingTokens,
 		Tokens:        j.request.PromptTokens + j.request.OutputTokens,
-	}, query.Parts)
+	}, query.Parts, query.OwnTokens+query.OutputTokens)
 	defer stay.End()
 	a := attempt{job: j, upstream: u, choice: choice, stay: stay, cancel: cancel}
 	j.line(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
-		Int("places", choice.Places).Int("candidates", choice.Candidates).Bool("fit", choice.Fit).Msg("request sent")
+		Int("places", choice.Places).Int("candidates", choice.Candidates).Bool("fit", choice.Fit).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Msg("request sent")
 	return a.run(ctx, conn)
 }
 
@@ -256,6 +256,8 @@
 		Patience:     a.deadline.Sub(now),
 		ResumeAfter:  a.lastEvent,
 		Priority:     priority,
+		FetchFrom:    a.choice.Source.Address,
+		SaveTo:       a.choice.Save,
 	})
 	return exchange.Request{Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: header, Body: a.body}
 }
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -52,7 +52,10 @@
 	Incarnation int64
 	// Turn is the least time between the orders of two holders.
 	Turn time.Duration
-	Log  zerolog.Logger
+	// Resigned reports whether a holder has said itself that it holds the lease
+	// of this number no longer.
+	Resigned func(holder string, incarnation int64, fence uint64) bool
+	Log      zerolog.Logger
 }
 
 const (
@@ -166,7 +169,8 @@
 	unchanged := now.Sub(k.seen)
 	k.mu.Unlock()
 	own := found.Holder == k.opts.Holder
-	if !own && !found.Released && unchanged < term+turnMargin {
+	free := found.Released || k.opts.Resigned(found.Holder, found.Incarnation, found.Fence)
+	if !own && !free && unchanged < term+turnMargin {
 		return nil
 	}
 	opens := now
@@ -195,6 +199,11 @@
 		}
 		return fmt.Errorf("rollout: write lease: %w", err)
 	}
+	if k.held && !k.valid(k.opts.Clock.Now()) {
+		// Others may have been told meanwhile that the lease is lost.
+		k.lose(now, "renewed too late")
+		return nil
+	}
 	if !k.held {
 		k.opts.Log.Info().Uint64("fence", written.Fence).Time("opens", opens).Msg("lease taken")
 		k.opens = opens
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -53,6 +53,8 @@
 	ErrDeclined = errors.New("rollout: order declined")
 	// ErrFenced means that the engine has seen a later holder.
 	ErrFenced = errors.New("rollout: a later holder gives orders")
+
+	errNotHeld = errors.New("rollout: the lease is not held")
 )
 
 // Engines speaks to model engines.
@@ -89,10 +91,13 @@
 	doubtPeriod = 900 * time.Millisecond
 	// changeTimeout bounds one engine's change.
 	changeTimeout = 12 * time.Second
-	// changesShare is one in how many engines may change at once; more of them
-	// slow one another down.
-	changesShare = 6
-	leastChanges = 2
+	// loadsShare is one in how many engines may load at once; more of them slow
+	// one another down. As many more are made free of work beforehand.
+	loadsShare = 6
+	leastLoads = 2
+	// freePeriod is how long an engine is given to become free of work before
+	// its order, which then waits for the rest.
+	freePeriod = 2500 * time.Millisecond
 )
 
 // Rollout is one VM's part in bringing engines up to date.
@@ -101,6 +106,8 @@
 
 	mu       sync.Mutex
 	changing map[string]bool
+	// loading counts the engines that have been given an order.
+	loading int
 	// progress is when an engine was last seen to change.
 	progress time.Time
 	behind   int
@@ -124,7 +131,7 @@
 func (r *Rollout) Working(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.changing) > 0 || r.behind > 0 && r.opts.Keeper.Holds(now)
+	return r.behind > 0 && r.opts.Keeper.Holds(now)
 }
 
 // Changing returns the engines that this VM is changing.
@@ -233,12 +240,13 @@
 	load := r.opts.Upstreams.TotalLoad(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	free := max(leastChanges, (engines+changesShare-1)/changesShare) - len(r.changing)
+	free := 2*r.loads(engines) - len(r.changing)
 	behind = slices.DeleteFunc(behind, func(u roster.Upstream) bool {
 		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID)
 	})
 	slices.SortFunc(behind, func(a, b roster.Upstream) int {
-		return cmp.Or(cmp.Compare(load[a.ID].Requests, load[b.ID].Requests), cmp.Compare(a.ID, b.ID))
+		// The oldest weights are the first that may no longer serve.
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(load[a.ID].Requests, load[b.ID].Requests), cmp.Compare(a.ID, b.ID))
 	})
 	behind = behind[:max(0, min(free, len(behind)))]
 	for _, u := range behind {
@@ -247,6 +255,56 @@
 	return behind
 }
 
+// loads is how many of the engines may load at once.
+func (r *Rollout) loads(engines int) int {
+	return max(leastLoads, (engines+loadsShare-1)/loadsShare) + 1
+}
+
+// admit waits until the engine may load: there is room, and its work is done.
+func (r *Rollout) admit(ctx context.Context, u roster.Upstream) error {
+	start := r.opts.Clock.Now()
+	for {
+		if !pause(ctx, tick) {
+			return ctx.Err()
+		}
+		now := r.opts.Clock.Now()
+		if _, may := r.opts.Keeper.May(now); !may {
+			return errNotHeld
+		}
+		r.opts.Upstreams.SetLoading(now, u.ID)
+		age := now.Sub(start)
+		if age < announceLead || age < freePeriod && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 {
+			continue
+		}
+		if r.enter() {
+			return nil
+		}
+	}
+}
+
+// enter takes a place among the engines that load.
+func (r *Rollout) enter() bool {
+	engines := 0
+	for _, u := range r.opts.Upstreams.All() {
+		if u.Model != "" {
+			engines++
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loading >= r.loads(engines) {
+		return false
+	}
+	r.loading++
+	return true
+}
+
+func (r *Rollout) exit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loading--
+}
+
 // change brings one engine up to date, or gives up for now.
 func (r *Rollout) change(ctx context.Context, u roster.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -269,13 +327,16 @@
 func (r *Rollout) order(ctx context.Context, u roster.Upstream) error {
 	var given time.Time // when the last order was given
 	var at int64        // the count that it expected
-	announced := false
+	if err := r.admit(ctx, u); err != nil {
+		return err
+	}
+	defer r.exit()
 	for {
 		report, err := r.report(ctx, u)
 		if err != nil {
 			return err
 		}
-		r.opts.Upstreams.SawVersion(u.ID, u.Born, report.Version)
+		r.opts.Upstreams.SawVersion(r.opts.Clock.Now(), u.ID, u.Born, report.Version)
 		named, _ := r.opts.Upstreams.Named(u.Model)
 		if report.Version >= named {
 			r.opts.Log.Info().Str("upstream", u.ID).Int64("version", report.Version).Msg("engine is up to date")
@@ -284,17 +345,11 @@
 		now := r.opts.Clock.Now()
 		r.opts.Upstreams.SetLoading(now, u.ID)
 		inDoubt := !given.IsZero() && report.Orders == at && now.Sub(given) < doubtPeriod
-		switch {
-		case report.Busy || inDoubt:
+		if report.Busy || inDoubt {
 			if !pause(ctx, reportEvery) {
 				return ctx.Err()
 			}
 			continue
-		case !announced:
-			announced = true
-			if !pause(ctx, announceLead) {
-				return ctx.Err()
-			}
 		}
 		if err := r.give(ctx, u, named, report.Orders); err != nil {
 			return err
@@ -318,7 +373,7 @@
 	defer cancel()
 	fence, may := r.opts.Keeper.May(r.opts.Clock.Now())
 	if !may {
-		return errors.New("rollout: the lease is not held")
+		return errNotHeld
 	}
 	err := r.opts.Engines.Load(ctx, Order{Upstream: u, Version: version, Holder: r.opts.Holder, Fence: fence, Expected: expected})
 	r.opts.Log.Info().Str("upstream", u.ID).Int64("version", version).Int64("expected", expected).Uint64("fence", fence).
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -1,14 +1,17 @@
 package roster
 
 import (
+	"container/list"
 	"sync"
 	"time"
 )
 
-// Sent says that a prompt's shared parts were sent to an upstream.
+// Sent says that a prompt was sent to an upstream.
 type Sent struct {
-	Upstream string
-	Parts    []Part
+	Upstream string `json:"upstream"`
+	// Parts are its shared parts, Own the tokens of the request alone.
+	Parts []Part `json:"parts"`
+	Own   int    `json:"own"`
 }
 
 const maxSent = 256
@@ -24,15 +27,15 @@
 }
 
 // Begin counts a request on an upstream, and takes its shared parts for kept there.
-func (t *Table) Begin(now time.Time, u Upstream, load Load, shared []Part) *Stay {
+func (t *Table) Begin(now time.Time, u Upstream, load Load, shared []Part, own int) *Stay {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[u.ID]; m != nil {
 		m.own = m.own.plus(load)
-		m.kept.use(now, shared, t.caches[u.Service])
+		m.kept.use(now, shared, own, t.caches[u.Service])
 	}
 	if len(shared) > 0 && len(t.sent) < maxSent {
-		t.sent = append(t.sent, Sent{u.ID, shared})
+		t.sent = append(t.sent, Sent{u.ID, shared, own})
 	}
 	return &Stay{table: t, id: u.ID, load: load, upstream: u}
 }
@@ -94,7 +97,7 @@
 	}
 	for _, s := range sent {
 		if m := t.members[s.Upstream]; m != nil {
-			m.kept.use(now, s.Parts, t.caches[m.upstream.Service])
+			m.kept.use(now, s.Parts, s.Own, t.caches[m.upstream.Service])
 		}
 	}
 }
@@ -111,52 +114,75 @@
 }
 
 // keptParts estimates which parts an upstream keeps: those used last, up to
-// the share of its memory that running requests leave.
+// its memory. What requests have for themselves alone takes room as well.
 type keptParts struct {
-	used   map[string]keptPart
+	used map[string]*keptPart
+	// order has the parts by their last use, the latest at the end.
+	order  list.List
 	tokens int
 }
 
 type keptPart struct {
+	id     string
 	tokens int
-	at     time.Time
+	// since is when the part was first sent.
+	since time.Time
+	place *list.Element
 }
 
-// keptShare is the part of an engine's memory that is counted on for kept parts.
-const keptShare = 0.7
+// blockSlack is more than the tokens by which a whole part may fall short, since
+// engines keep whole blocks.
+const blockSlack = 64
 
-func newKeptParts() *keptParts { return &keptParts{used: make(map[string]keptPart)} }
+// keptShare is the part of an engine's memory that is counted on for parts.
+const keptShare = 2.0
 
-func (k *keptParts) use(now time.Time, parts []Part, capacity int) {
+func newKeptParts() *keptParts { return &keptParts{used: make(map[string]*keptPart)} }
+
+func (k *keptParts) use(now time.Time, parts []Part, own, capacity int) {
 	for _, p := range parts {
-		old, known := k.used[p.ID]
-		if !known {
+		part := k.used[p.ID]
+		if part == nil {
+			part = &keptPart{id: p.ID, tokens: p.Tokens, since: now}
+			part.place = k.order.PushBack(part)
+			k.used[p.ID] = part
 			k.tokens += p.Tokens
 		}
-		if now.After(old.at) {
-			k.used[p.ID] = keptPart{p.Tokens, now}
-		}
+		k.order.MoveToBack(part.place)
 	}
-	for float64(k.tokens) > keptShare*float64(capacity) && len(k.used) > 1 {
-		oldest := ""
-		for id, p := range k.used {
-			if oldest == "" || p.at.Before(k.used[oldest].at) {
-				oldest = id
-			}
-		}
-		k.tokens -= k.used[oldest].tokens
-		delete(k.used, oldest)
+	if own > 0 {
+		k.order.PushBack(&keptPart{tokens: own})
+		k.tokens += own
+	}
+	for float64(k.tokens) > keptShare*float64(capacity) && k.order.Len() > 1 {
+		oldest := k.order.Remove(k.order.Front()).(*keptPart)
+		k.tokens -= oldest.tokens
+		delete(k.used, oldest.id)
 	}
 }
 
+// ready returns how many tokens of the parts, from the first on, have been
+// there long enough to be read.
+func (k *keptParts) ready(now time.Time, parts []Part) int {
+	return k.count(parts, func(kept *keptPart) bool { return now.Sub(kept.since) >= readyAfter })
+}
+
 // have returns how many tokens of the parts, from the first on, are kept.
 func (k *keptParts) have(parts []Part) int {
+	return k.count(parts, func(*keptPart) bool { return true })
+}
+
+func (k *keptParts) count(parts []Part, counts func(*keptPart) bool) int {
 	tokens := 0
 	for _, p := range parts {
-		if _, known := k.used[p.ID]; !known {
+		kept := k.used[p.ID]
+		if kept == nil || !counts(kept) {
+			break
+		}
+		tokens += min(p.Tokens, kept.tokens)
+		if kept.tokens+blockSlack < p.Tokens {
 			break
 		}
-		tokens += p.Tokens
 	}
 	return tokens
 }
@@ -171,3 +197,64 @@
 	}
 	return loads
 }
+
+// KeptPart is what an engine says of one part that it keeps.
+type KeptPart struct {
+	// ID has the wall's name before it where there is a wall.
+	ID string
+	// Tokens are those kept now; 0 stands for none.
+	Tokens int
+	// Version is that of the weights which made it.
+	Version int64
+}
+
+// WalledID returns the name of a part behind a wall, under which organisations
+// that share nothing keep their parts apart. The empty wall is everybody's.
+func WalledID(wall, id string) string {
+	if wall == "" {
+		return id
+	}
+	return wall + "/" + id
+}
+
+// SetKept takes what an engine says of its parts.
+func (t *Table) SetKept(now time.Time, id string, born int64, parts []KeptPart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil || m.upstream.Born != born {
+		return
+	}
+	for _, p := range parts {
+		if p.Version == m.upstream.Version {
+			m.kept.set(now, p)
+		}
+	}
+}
+
+// ForgetKept forgets the parts of an engine.
+func (t *Table) ForgetKept(id string, born int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil && m.upstream.Born == born {
+		m.kept = newKeptParts()
+	}
+}
+
+func (k *keptParts) set(now time.Time, p KeptPart) {
+	part := k.used[p.ID]
+	switch {
+	case part == nil && p.Tokens > 0:
+		part = &keptPart{id: p.ID, tokens: p.Tokens, since: now.Add(-readyAfter)}
+		part.place = k.order.PushBack(part)
+		k.used[p.ID] = part
+		k.tokens += p.Tokens
+	case part != nil && p.Tokens == 0:
+		k.order.Remove(part.place)
+		k.tokens -= part.tokens
+		delete(k.used, p.ID)
+	case part != nil:
+		k.tokens += p.Tokens - part.tokens
+		part.tokens = p.Tokens
+	}
+}
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -17,6 +17,8 @@
 	// SharedWeight multiplies the cost of reading shared parts anew, which
 	// others pay for as well.
 	SharedWeight float64
+	// FetchMS is the cost of fetching kept memory from another engine.
+	FetchMS float64
 	// DistanceMS is added for an upstream in another data centre.
 	DistanceMS float64
 	// RunningMS is added for each request that runs there.
@@ -35,6 +37,7 @@
 	}
 	set(&p.ReadTokensPerMS, 75)
 	set(&p.SharedWeight, 2)
+	set(&p.FetchMS, 20)
 	set(&p.DistanceMS, 10)
 	set(&p.RunningMS, 3)
 	set(&p.OutdatedMS, 100)
@@ -79,6 +82,11 @@
 	Places int
 	// Candidates is how many upstreams were weighed.
 	Candidates int
+	// Source is the engine to fetch kept memory from. Its ID is empty if there
+	// is none that has more than the upstream.
+	Source Upstream
+	// Save is the store's address if it should get what the upstream reads anew.
+	Save string
 	// Fit is false if the upstream is a last resort: avoided, lapsed or loading.
 	Fit bool
 }
@@ -99,9 +107,10 @@
 		return Choice{}, false
 	}
 	home := t.home(list, q)
+	sources := t.sources(now, list, q.Parts)
 	best := Choice{}
 	for _, m := range list {
-		c := t.cost(now, m, q, m == home)
+		c := t.cost(now, m, q, m == home, sources)
 		if best.Candidates == 0 || c.CostMS < best.CostMS ||
 			c.CostMS == best.CostMS && strings.Compare(c.Upstream.ID, best.Upstream.ID) < 0 {
 			best = c
@@ -125,7 +134,7 @@
 
 func rank(key string, m *member) uint64 { return xxhash.Sum64String(key + "/" + m.upstream.ID) }
 
-func (t *Table) cost(now time.Time, m *member, q Query, home bool) Choice {
+func (t *Table) cost(now time.Time, m *member, q Query, home bool, sources map[int64]source) Choice {
 	p := t.opts.Policy
 	u := m.upstream
 	load := m.total(now)
@@ -134,7 +143,7 @@
 		c.CostMS += p.DistanceMS
 	}
 	if q.Model != "" {
-		c.CostMS += t.engineCost(&c, m, load, q, home)
+		c.CostMS += t.engineCost(&c, m, load, q, home, sources[u.Version])
 	} else {
 		c.CostMS += p.PlainMS * float64(load.Requests)
 	}
@@ -159,18 +168,27 @@
 
 // engineCost estimates when the first token comes: what waits there is read
 // first, then what the engine lacks of the prompt.
-func (t *Table) engineCost(c *Choice, m *member, load Load, q Query, home bool) float64 {
+func (t *Table) engineCost(c *Choice, m *member, load Load, q Query, home bool, from source) float64 {
 	p := t.opts.Policy
 	shared := 0
 	for _, part := range q.Parts {
 		shared += part.Tokens
 	}
 	missing := float64(shared - m.kept.have(q.Parts))
-	if home && missing == float64(shared) {
+	fetch := 0.0
+	switch {
+	case from.member != m && from.tokens > shared-int(missing):
+		missing = float64(shared - from.tokens)
+		c.Source = from.upstream
+		fetch = p.FetchMS
+	case home && missing == float64(shared):
 		missing *= homeShare
 	}
+	if t.store != nil && t.store.up && missing > 0 {
+		c.Save = t.store.upstream.Address
+	}
 	c.MissingTokens = int(missing) + q.OwnTokens
-	cost := (float64(load.WaitingTokens) + p.SharedWeight*missing + float64(q.OwnTokens)) / p.ReadTokensPerMS
+	cost := fetch + (float64(load.WaitingTokens)+p.SharedWeight*missing+float64(q.OwnTokens))/p.ReadTokensPerMS
 	cost += p.RunningMS * float64(load.Requests)
 	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
 		cost += p.OutdatedMS
@@ -181,3 +199,45 @@
 	}
 	return cost
 }
+
+// source is where the most of a prompt is kept: an engine, or the store, which
+// has no member.
+type source struct {
+	member   *member
+	upstream Upstream
+	tokens   int
+}
+
+// readyAfter is how long after they were sent parts are counted on as read.
+const readyAfter = 150 * time.Millisecond
+
+// sources returns the best source of each version of the weights. The store is
+// taken where no engine has as much.
+func (t *Table) sources(now time.Time, list []*member, parts []Part) map[int64]source {
+	best := make(map[int64]source)
+	if len(parts) == 0 {
+		return best
+	}
+	for _, m := range list {
+		version := m.upstream.Version
+		known, seen := best[version]
+		if !seen {
+			known = t.storeSource(now, version, parts)
+			best[version] = known
+		}
+		if m.avoid.After(now) || m.isLoading(now) || !m.lapsed.IsZero() {
+			continue
+		}
+		if tokens := m.kept.ready(now, parts); tokens > 0 && tokens >= known.tokens {
+			best[version] = source{m, m.upstream, tokens}
+		}
+	}
+	return best
+}
+
+func (t *Table) storeSource(now time.Time, version int64, parts []Part) source {
+	if t.store == nil || !t.store.up {
+		return source{}
+	}
+	return source{upstream: t.store.upstream, tokens: t.store.kept.ready(now, stored(version, parts))}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -82,7 +82,8 @@
 	// lapsed is when the entry was lost during an outage of the store.
 	lapsed  time.Time
 	loading time.Time
-	wrongAt time.Time
+	// updated is when new weights were seen.
+	updated time.Time
 }
 
 type peerLoad struct {
@@ -109,6 +110,7 @@
 	// caches are the tokens of memory of each service's upstreams.
 	caches map[string]int
 	sent   []Sent
+	store  *store
 }
 
 type namedVersion struct {
@@ -276,7 +278,7 @@
 }
 
 // SawVersion takes the weights that an answer or a report of an upstream shows.
-func (t *Table) SawVersion(id string, born, version int64) {
+func (t *Table) SawVersion(now time.Time, id string, born, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
@@ -286,6 +288,31 @@
 	m.upstream.Version = version
 	m.kept = newKeptParts()
 	m.loading = time.Time{}
+	m.updated = now
+}
+
+// Seen is the weights that an engine was seen to have.
+type Seen struct {
+	ID      string `json:"id"`
+	Born    int64  `json:"born"`
+	Version int64  `json:"version"`
+}
+
+// updatePeriod is how long new weights are told to peers, until the store's
+// list says the same.
+const updatePeriod = 2 * time.Second
+
+// Updated returns the engines that were seen to have new weights lately.
+func (t *Table) Updated(now time.Time) []Seen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Seen
+	for _, m := range t.members {
+		if !m.updated.IsZero() && now.Sub(m.updated) < updatePeriod {
+			list = append(list, Seen{m.upstream.ID, m.upstream.Born, m.upstream.Version})
+		}
+	}
+	return list
 }
 
 // SetLoading says that an engine is about to change its weights.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -104,6 +104,10 @@
 	// CacheTokens is an engine's memory for running requests and kept prompts.
 	CacheTokens int
 	Models      []string
+	// StoreAddress is where a store of kept prompts is. It is empty for others.
+	StoreAddress string
+	// DataCentre is where such a store stands.
+	DataCentre string
 }
 
 // Organisation is a holder of API keys.
