internal/roster: no request near the end of old weights' time

Change: the pick leaves out engines whose weights are older than a version named longer ago than the limit less the time that a request may queue.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -51,6 +51,8 @@
 	// rest is for bytes received and not yet read.
 	memoryShare = 0.6
 	mebibyte    = 1 << 20
+	// versionMargin is how long a request may wait at an engine before it begins.
+	versionMargin = 1500 * time.Millisecond
 )
 
 // Options sets up a VM. Now and Boot are required.
@@ -111,7 +113,8 @@
 		fetching:      make(map[string]bool),
 	}
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
-	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Policy: roster.Policy{
+	versionLimit := milliseconds(s.VersionMS) - versionMargin
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, VersionLimit: versionLimit, Policy: roster.Policy{
 		ReadTokensPerMS: s.ReadTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
 	v.buildFollowers()
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -65,8 +65,6 @@
 	// OwnTokens are the prompt's other tokens, OutputTokens the most that come out.
 	OwnTokens, OutputTokens int
 	Model                   string
-	// MinVersion leaves out engines with older weights.
-	MinVersion int64
 	// Without names the upstreams that have been tried.
 	Without []string
 }
@@ -96,9 +94,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*member
+	floor := t.named[q.Model].floor(now, t.opts.VersionLimit)
 	for _, m := range t.members {
 		u := m.upstream
-		if u.Service != q.Service || u.Leaving || u.Version < q.MinVersion || slices.Contains(q.Without, u.ID) {
+		if u.Service != q.Service || u.Leaving || u.Version < floor || slices.Contains(q.Without, u.ID) {
 			continue
 		}
 		list = append(list, m)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -97,6 +97,9 @@
 	DataCentre string
 	// Policy weighs the upstreams.
 	Policy Policy
+	// VersionLimit is how long after newer weights were named an engine with
+	// older ones may be given requests. Zero sets no limit.
+	VersionLimit time.Duration
 }
 
 // Table holds the upstreams.
@@ -116,8 +119,29 @@
 type namedVersion struct {
 	version int64
 	since   time.Time
+	// earlier are the versions named before, oldest first.
+	earlier []namedVersion
 }
 
+// floor is the newest version that has been named for longer than limit.
+func (n namedVersion) floor(now time.Time, limit time.Duration) int64 {
+	if limit <= 0 {
+		return 0
+	}
+	if n.version > 0 && now.Sub(n.since) > limit {
+		return n.version
+	}
+	for _, e := range slices.Backward(n.earlier) {
+		if now.Sub(e.since) > limit {
+			return e.version
+		}
+	}
+	return 0
+}
+
+// maxEarlier bounds the versions remembered for each model.
+const maxEarlier = 32
+
 // New returns an empty Table.
 func New(opts Options) *Table {
 	opts.Policy = opts.Policy.withDefaults()
@@ -264,7 +288,9 @@
 	if old := t.named[model]; version <= old.version {
 		return false
 	}
-	t.named[model] = namedVersion{version, now}
+	old := t.named[model]
+	earlier := append(slices.Clone(old.earlier), namedVersion{version: old.version, since: old.since})
+	t.named[model] = namedVersion{version, now, earlier[max(0, len(earlier)-maxEarlier):]}
 	return true
 }
 
