internal/rollout: fewer engines out of work at once, marks end with their cause

Cause: up to 8 of 18 engines stood out of work during a rollout, while all prompts were cold, and marks outlived a lost lease by 4 s; queues of 2 s. Change: one and a half times the engines that load; a mark lasts 0.8 s unless repeated; an engine that turns a request away rests; lease calls back off.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -75,8 +75,13 @@
 // turnedAway says that the upstream has not run the request.
 func (a *attempt) turnedAway(answer exchange.Answer, head Head) error {
 	a.rejected++
-	if head.Misdirected {
-		a.h.opts.Upstreams.Wrong(a.h.opts.Now(), a.upstream.ID)
+	now := a.h.opts.Now()
+	switch {
+	case head.Misdirected:
+		a.h.opts.Upstreams.Wrong(now, a.upstream.ID)
+	case a.service.Engine:
+		// It is full, loads weights, or has others than were asked for.
+		a.h.opts.Upstreams.SetLoading(now, a.upstream.ID)
 	}
 	if head.Version > 0 {
 		a.h.opts.Upstreams.SawVersion(a.h.opts.Now(), a.upstream.ID, a.upstream.Born, head.Version)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -86,7 +87,9 @@
 	// that none of them sends new work there.
 	announceLead = 200 * time.Millisecond
 	reportEvery  = 220 * time.Millisecond
-	callTimeout  = 500 * time.Millisecond
+	// leasePause is the mean time between two tries to have the lease.
+	leasePause  = 250 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// doubtPeriod is how long an order without an answer is left alone.
 	doubtPeriod = 900 * time.Millisecond
 	// changeTimeout bounds one engine's change.
@@ -104,6 +107,10 @@
 type Rollout struct {
 	opts Options
 
+	// retryAt is when the lease is tried again after a failure. Only Run's
+	// goroutine uses it.
+	retryAt time.Time
+
 	mu       sync.Mutex
 	changing map[string]bool
 	// loading counts the engines that have been given an order.
@@ -176,8 +183,12 @@
 	if !r.opts.Keeper.Holds(now) && !r.due(now) {
 		return
 	}
+	if now.Before(r.retryAt) {
+		return
+	}
 	if err := r.opts.Keeper.Acquire(ctx); err != nil {
 		r.opts.Log.Warn().Err(err).Msg("lease not had")
+		r.retryAt = r.opts.Clock.Now().Add(leasePause/2 + rand.N(leasePause))
 		return
 	}
 	if _, may := r.opts.Keeper.May(r.opts.Clock.Now()); !may {
@@ -240,7 +251,7 @@
 	load := r.opts.Upstreams.TotalLoad(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	free := 2*r.loads(engines) - len(r.changing)
+	free := r.loads(engines) + (r.loads(engines)+1)/2 - len(r.changing)
 	behind = slices.DeleteFunc(behind, func(u roster.Upstream) bool {
 		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID)
 	})
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -36,7 +36,7 @@
 		}
 	}
 	set(&p.ReadTokensPerMS, 75)
-	set(&p.SharedWeight, 2)
+	set(&p.SharedWeight, 3)
 	set(&p.FetchMS, 20)
 	set(&p.DistanceMS, 10)
 	set(&p.RunningMS, 3)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -67,8 +67,9 @@
 	// lapseHold is how long an upstream whose entry went during an outage of the
 	// store stays a last resort. Entries of live ones are back within 2 s.
 	lapseHold = 1800 * time.Millisecond
-	// loadingHold bounds the belief that an engine is changing its weights.
-	loadingHold = 4 * time.Second
+	// loadingHold bounds the belief that an engine is changing its weights. The
+	// VM that changes it says so again several times in this time.
+	loadingHold = 800 * time.Millisecond
 )
 
 type member struct {
