--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -75,6 +75,9 @@
 	Updated   []roster.Seen `json:"updated,omitempty"`
 	Avoided   []string      `json:"avoided,omitempty"`
 	Suspected []Suspicion   `json:"suspected,omitempty"`
+	// Named are the versions that operators named last. A VM that starts can't
+	// tell from the store for how long they have been in force.
+	Named []roster.NamedAge `json:"named,omitempty"`
 	// Peers are addresses of other VMs.
 	Peers []string `json:"peers,omitempty"`
 }
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -38,7 +38,7 @@
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.changedAt(), Loads: make(map[string][3]int),
 		Sent: v.upstreams.TakeSent(), Avoided: v.upstreams.Avoided(now),
-		Updated: v.upstreams.Updated(now),
+		Updated: v.upstreams.Updated(now), Named: v.upstreams.NamedAges(now),
 	}
 	switch {
 	case v.departed.Load() != 0:
@@ -90,6 +90,12 @@
 	for _, u := range m.Updated {
 		v.upstreams.SawVersion(now, u.ID, u.Born, u.Version)
 	}
+	for _, n := range m.Named {
+		// Only the store's word makes a version known here.
+		if newest, _ := v.upstreams.Named(n.Model); n.Version <= newest {
+			v.upstreams.SetNamed(now.Add(-time.Duration(n.AgeMS)*time.Millisecond), n.Model, n.Version)
+		}
+	}
 	for _, s := range m.Suspected {
 		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
 	}
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -93,7 +93,12 @@
 type versionSink struct{ *VM }
 
 // Replace implements registry.Sink.
+// What the first list names may have been in force for long.
 func (v versionSink) Replace(now time.Time, page registry.Page[platform.NamedVersion], _ bool) {
+	if !v.listed {
+		now = now.Add(-milliseconds(v.settings.VersionMS) / 2)
+		v.listed = true
+	}
 	v.Apply(now, page, false)
 }
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -90,6 +90,10 @@
 	departed       atomic.Int64
 	once           sync.Once
 
+	// listed says that the named versions have been listed once. Only their
+	// follower uses it.
+	listed bool
+
 	mu        sync.Mutex
 	suspected []beacon.Suspicion
 	fetching  map[string]bool
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -282,17 +282,54 @@
 	return list
 }
 
-// SetNamed takes the newest version of a model's weights.
-func (t *Table) SetNamed(now time.Time, model string, version int64) bool {
+// NamedAge is a version of a model's weights and how long ago it was named.
+type NamedAge struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	AgeMS   int64  `json:"age_ms"`
+}
+
+// SetNamed takes a version of a model's weights that was named at a time, and
+// reports whether it is newer than those known. Of two times the earlier holds.
+func (t *Table) SetNamed(at time.Time, model string, version int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old := t.named[model]; version <= old.version {
-		return false
-	}
 	old := t.named[model]
-	earlier := append(slices.Clone(old.earlier), namedVersion{version: old.version, since: old.since})
-	t.named[model] = namedVersion{version, now, earlier[max(0, len(earlier)-maxEarlier):]}
-	return true
+	if version > old.version {
+		earlier := slices.Clone(old.earlier)
+		if old.version > 0 {
+			earlier = append(earlier, namedVersion{version: old.version, since: old.since})
+		}
+		t.named[model] = namedVersion{version, at, earlier[max(0, len(earlier)-maxEarlier):]}
+		return true
+	}
+	if version == old.version && at.Before(old.since) {
+		old.since = at
+		t.named[model] = old
+	}
+	for i, e := range old.earlier {
+		if e.version == version && at.Before(e.since) {
+			old.earlier[i].since = at
+		}
+	}
+	return false
+}
+
+// namedTold is how many versions of a model are told to peers.
+const namedTold = 4
+
+// NamedAges returns the versions named last, with their ages.
+func (t *Table) NamedAges(now time.Time) []NamedAge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ages []NamedAge
+	for model, n := range t.named {
+		ages = append(ages, NamedAge{model, n.version, now.Sub(n.since).Milliseconds()})
+		for _, e := range n.earlier[max(0, len(n.earlier)-namedTold+1):] {
+			ages = append(ages, NamedAge{model, e.version, now.Sub(e.since).Milliseconds()})
+		}
+	}
+	return ages
 }
 
 // Named returns the newest version of a model's weights and since when this
