internal/rollout, internal/ingress: handing over, repeats of busy engines

Change: who lets the lease go names its engines, and only these wait; last orders are given at a stop; an engine that answers event calls is there; a VM has no slack in its first window; old weights' time counts undisturbed spans.

--- a/internal/cachemap/cachemap.go
+++ b/internal/cachemap/cachemap.go
@@ -43,8 +43,8 @@
 const (
 	// scanEvery is how often new engines are looked for.
 	scanEvery = 300 * time.Millisecond
-	eventWait = time.Second
-	callSlack = 600 * time.Millisecond
+	eventWait = 500 * time.Millisecond
+	callSlack = 400 * time.Millisecond
 	// restPeriod gathers events, so that a busy engine costs few calls.
 	restPeriod = 120 * time.Millisecond
 	failPause  = time.Second
@@ -137,9 +137,13 @@
 		cancel()
 		if err != nil {
 			m.opts.Log.Debug().Str("upstream", u.ID).Err(err).Msg("cache events not read")
+			if ctx.Err() == nil && !m.opts.Upstreams.HeardWithin(m.opts.Now(), u.ID, eventWait+callSlack) {
+				m.opts.Upstreams.Unreachable(m.opts.Now(), u.ID)
+			}
 			sleep(ctx, failPause/2+rand.N(failPause))
 			continue
 		}
+		m.opts.Upstreams.Reached(m.opts.Now(), u.ID)
 		if epoch != 0 && batch.Epoch != epoch {
 			m.opts.Upstreams.ForgetKept(u.ID, u.Born)
 			since = 0
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -100,7 +100,7 @@
 		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
 	}
 	if m.Leading > 0 {
-		v.rollout.Progress(now)
+		v.rollout.Progress(now, m.Loading)
 		v.mu.Lock()
 		if m.Leading > v.leaderFence {
 			v.leader, v.leaderFence = m.Name, m.Leading
@@ -220,6 +220,9 @@
 		sleep(ctx, expireEvery)
 		now := v.opts.Now()
 		v.changed(now, v.upstreams.Expire(now))
+		if !v.configurations.Healthy() || !v.upstreamFeed.Healthy() || !v.versions.Healthy() {
+			v.upstreams.Disturbed(now)
+		}
 	}
 }
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -188,7 +188,7 @@
 
 func (v *VM) buildServers() error {
 	retries := ingress.NewRetries(ingress.RetriesOptions{
-		Ratio: v.settings.RetryRatio, Slack: v.settings.RetrySlack, Window: milliseconds(v.settings.RetryWindowMS), VMs: v.beacon.Known,
+		Ratio: v.settings.RetryRatio, Slack: v.settings.RetrySlack, Window: milliseconds(v.settings.RetryWindowMS), VMs: v.beacon.Known, Start: v.opts.Now(),
 	})
 	handler := ingress.NewHandler(ingress.Options{
 		Now:           v.opts.Now,
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -17,6 +17,13 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
+const (
+	// aliveWithin is over the time between two words of an engine that is there:
+	// it answers calls for its events at least that often.
+	aliveWithin  = 900 * time.Millisecond
+	silenceCheck = 200 * time.Millisecond
+)
+
 // maxAnswerBytes bounds an answer that is held whole.
 const maxAnswerBytes = 8 << 20
 
@@ -33,7 +40,15 @@
 func (a *attempt) run(ctx context.Context, conn *exchange.Conn) error {
 	var watchdog *time.Timer
 	if limit, set := a.silence(); set {
-		watchdog = time.AfterFunc(limit, func() { a.cancel(errSilent) })
+		watchdog = time.AfterFunc(limit, func() {
+			// One that speaks to others is busy, not gone; to send the request
+			// elsewhere as well would only add to the load.
+			if a.service.Engine && a.h.opts.Upstreams.HeardWithin(a.h.opts.Now(), a.upstream.ID, aliveWithin) {
+				watchdog.Reset(silenceCheck)
+				return
+			}
+			a.cancel(errSilent)
+		})
 		defer watchdog.Stop()
 	}
 	answer, err := conn.Do(a.call(a.h.opts.Now()))
@@ -44,7 +59,7 @@
 	if head.Foreign {
 		return a.broken(ctx, errors.New("the answer is another request's"))
 	}
-	a.h.opts.Upstreams.Reached(a.upstream.ID)
+	a.h.opts.Upstreams.Reached(a.h.opts.Now(), a.upstream.ID)
 	if head.NotRun {
 		return a.turnedAway(answer, head)
 	}
@@ -171,6 +186,7 @@
 			a.begin(answer)
 		}
 		a.stay.First()
+		a.h.opts.Upstreams.Reached(a.h.opts.Now(), a.upstream.ID)
 		if _, err := a.w.Write(event.raw); err != nil {
 			return a.unread(err)
 		}
@@ -195,6 +211,8 @@
 // begin sends the head of a stream. The head of its first upstream stays.
 func (a *attempt) begin(answer exchange.Answer) {
 	a.begun = true
+	now := a.h.opts.Now()
+	a.line(now).Str("upstream", a.upstream.ID).Float64("cost_ms", a.choice.CostMS).Msg("first event")
 	a.h.opts.Codec.Forward(a.w.Header(), answer.Header)
 	a.w.WriteHeader(answer.Status)
 	metrics.GetOrRegisterHistogram("first_event_us", a.h.opts.Metrics, metrics.NewExpDecaySample(1028, 0.015)).
--- a/internal/ingress/retries.go
+++ b/internal/ingress/retries.go
@@ -15,6 +15,9 @@
 	Window time.Duration
 	// VMs returns how many VMs share the slack.
 	VMs func() int
+	// Start is when this VM began. What it used before is not known, so that it
+	// has no share of the slack for a window's length.
+	Start time.Time
 }
 
 // Retries is this VM's share of the budget of repeats that all VMs have, for
@@ -54,7 +57,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(now, service)
-	most := retryShare * (r.opts.Ratio*float64(len(w.requests)) + r.opts.Slack/float64(max(1, r.opts.VMs())))
+	most := retryShare * r.opts.Ratio * float64(len(w.requests))
+	if now.Sub(r.opts.Start) >= r.opts.Window {
+		most += retryShare * r.opts.Slack / float64(max(1, r.opts.VMs()))
+	}
 	if float64(len(w.repeats)+1) > most {
 		return false
 	}
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -83,8 +83,9 @@
 	// sent is when the last confirmed renewal was sent, by both clocks.
 	sent     time.Time
 	sentBoot time.Duration
-	// opens is when the first order may be given.
-	opens time.Time
+	// opens is when the first order may be given, waits when the first to an
+	// engine that the last holder may have given one.
+	opens, waits time.Time
 }
 
 // NewKeeper returns a Keeper that holds nothing.
@@ -101,6 +102,14 @@
 	return k.lease.Fence, true
 }
 
+// Waits returns when an engine that the last holder was changing may be given
+// an order.
+func (k *Keeper) Waits() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.waits
+}
+
 // Holds reports whether this VM holds the lease, though it may have to wait
 // before its first order.
 func (k *Keeper) Holds(now time.Time) bool {
@@ -140,23 +149,17 @@
 			return nil
 		}
 		lease.Renewal++
-		return k.write(ctx, lease, k.openTime())
+		return k.write(ctx, lease, time.Time{}, time.Time{})
 	}
 	return k.take(ctx)
 }
 
-func (k *Keeper) openTime() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.opens
-}
-
 // take reads the lease and takes it over if its holder has let it go or lapse.
 func (k *Keeper) take(ctx context.Context) error {
 	found, err := k.opts.Book.Read(ctx)
 	now := k.opts.Clock.Now()
 	if errors.Is(err, registry.ErrNotFound) {
-		return k.write(ctx, Lease{Holder: k.opts.Holder, Incarnation: k.opts.Incarnation, Fence: 1}, now)
+		return k.write(ctx, Lease{Holder: k.opts.Holder, Incarnation: k.opts.Incarnation, Fence: 1}, now, now)
 	}
 	if err != nil {
 		return fmt.Errorf("rollout: read lease: %w", err)
@@ -173,19 +176,24 @@
 	if !own && !free && unchanged < term+turnMargin {
 		return nil
 	}
-	opens := now
+	opens, waits := now, now
 	if !own {
-		// The last holder may have given an order until just now.
-		opens = now.Add(k.opts.Turn + turnMargin)
+		// The last holder may have given an order until just now. One that has
+		// let the lease go had named the engines that it gave orders to.
+		waits = now.Add(k.opts.Turn + turnMargin)
+		if !free {
+			opens = waits
+		}
 	}
 	next := Lease{
 		Holder: k.opts.Holder, Incarnation: k.opts.Incarnation, Revision: found.Revision,
 		Fence: found.Fence + 1, Renewal: found.Renewal + 1,
 	}
-	return k.write(ctx, next, opens)
+	return k.write(ctx, next, opens, waits)
 }
 
-func (k *Keeper) write(ctx context.Context, l Lease, opens time.Time) error {
+// write stores the lease. The times count for a lease that is not held yet.
+func (k *Keeper) write(ctx context.Context, l Lease, opens, waits time.Time) error {
 	now, boot := k.opts.Clock.Now(), k.opts.Clock.Boot()
 	l.Released = false
 	written, err := k.opts.Book.Write(ctx, l)
@@ -207,6 +215,7 @@
 	if !k.held {
 		k.opts.Log.Info().Uint64("fence", written.Fence).Time("opens", opens).Msg("lease taken")
 		k.opens = opens
+		k.waits = waits
 	}
 	k.held = true
 	k.lease = written
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,6 +88,11 @@
 	// that none of them sends new work there.
 	announceLead = 200 * time.Millisecond
 	reportEvery  = 220 * time.Millisecond
+	// othersMemory is over the time in which two VMs may not both give orders to
+	// one engine.
+	othersMemory = time.Minute
+	// lastOrders is how long the last orders of a VM that stops may take.
+	lastOrders = 150 * time.Millisecond
 	// leasePause is the mean time between two tries to have the lease.
 	leasePause  = 250 * time.Millisecond
 	callTimeout = 500 * time.Millisecond
@@ -111,6 +117,9 @@
 	// goroutine uses it.
 	retryAt time.Time
 
+	// closing says that this VM is about to let the lease go.
+	closing atomic.Bool
+
 	mu       sync.Mutex
 	changing map[string]bool
 	// loading counts the engines that have been given an order.
@@ -118,20 +127,25 @@
 	// progress is when an engine was last seen to change.
 	progress time.Time
 	behind   int
+	// others is when another VM last said that it changes each engine.
+	others map[string]time.Time
 	// failed is when each engine's last change did not work.
 	failed map[string]time.Time
 }
 
 // New returns a Rollout.
 func New(opts Options) *Rollout {
-	return &Rollout{opts: opts, changing: make(map[string]bool), failed: make(map[string]time.Time)}
+	return &Rollout{opts: opts, changing: make(map[string]bool), failed: make(map[string]time.Time), others: make(map[string]time.Time)}
 }
 
-// Progress notes that another VM is at work.
-func (r *Rollout) Progress(now time.Time) {
+// Progress notes that another VM is at work, and on which engines.
+func (r *Rollout) Progress(now time.Time, engines []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progress = now
+	for _, id := range engines {
+		r.others[id] = now
+	}
 }
 
 // Working reports whether this VM is changing engines.
@@ -152,23 +166,28 @@
 func (r *Rollout) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	changes, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			r.closing.Store(true)
+			pause(context.WithoutCancel(ctx), lastOrders)
+			stop()
 			wg.Wait()
 			if err := r.opts.Keeper.Release(context.WithoutCancel(ctx)); err != nil {
 				r.opts.Log.Warn().Err(err).Msg("lease not released")
 			}
 			return
 		case <-ticker.C:
-			r.step(ctx, &wg)
+			r.step(ctx, changes, &wg)
 		}
 	}
 }
 
-func (r *Rollout) step(ctx context.Context, wg *sync.WaitGroup) {
+func (r *Rollout) step(ctx, changes context.Context, wg *sync.WaitGroup) {
 	now := r.opts.Clock.Now()
 	behind := r.outdated()
 	r.note(now, len(behind))
@@ -195,7 +214,7 @@
 		return
 	}
 	for _, u := range r.next(now, behind) {
-		wg.Go(func() { r.change(ctx, u) })
+		wg.Go(func() { r.change(changes, u) })
 	}
 }
 
@@ -248,12 +267,14 @@
 		}
 	}
 	avoided := r.opts.Upstreams.Avoided(now)
+	early := now.Before(r.opts.Keeper.Waits())
 	load := r.opts.Upstreams.TotalLoad(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	free := r.loads(engines) + (r.loads(engines)+1)/2 - len(r.changing)
 	behind = slices.DeleteFunc(behind, func(u roster.Upstream) bool {
-		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID)
+		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID) ||
+			early && now.Sub(r.others[u.ID]) < othersMemory
 	})
 	slices.SortFunc(behind, func(a, b roster.Upstream) int {
 		// The oldest weights are the first that may no longer serve.
@@ -284,6 +305,11 @@
 		}
 		r.opts.Upstreams.SetLoading(now, u.ID)
 		age := now.Sub(start)
+		if r.closing.Load() && r.enter() {
+			// What is free of work, or soon will be, changes while the next VM
+			// takes the lease.
+			return nil
+		}
 		if age < announceLead || age < freePeriod && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 {
 			continue
 		}
@@ -303,7 +329,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.loading >= r.loads(engines) {
+	if r.loading >= r.loads(engines) && !r.closing.Load() {
 		return false
 	}
 	r.loading++
@@ -342,6 +368,9 @@
 		return err
 	}
 	defer r.exit()
+	if r.closing.Load() {
+		return r.giveLast(ctx, u)
+	}
 	for {
 		report, err := r.report(ctx, u)
 		if err != nil {
@@ -372,6 +401,16 @@
 	}
 }
 
+// giveLast gives an order that another VM will follow up.
+func (r *Rollout) giveLast(ctx context.Context, u roster.Upstream) error {
+	report, err := r.report(ctx, u)
+	if err != nil || report.Busy {
+		return err
+	}
+	named, _ := r.opts.Upstreams.Named(u.Model)
+	return r.give(ctx, u, named, report.Orders)
+}
+
 func (r *Rollout) report(ctx context.Context, u roster.Upstream) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -48,6 +48,7 @@
 // Costs that put an upstream behind all that lack the fault, in milliseconds.
 const (
 	fullMS    = 400
+	expiredMS = 1_000
 	lapsedMS  = 5_000
 	avoidedMS = 20_000
 	loadingMS = 50_000
@@ -94,7 +95,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*member
-	floor := t.named[q.Model].floor(now, t.opts.VersionLimit)
+	floor := t.named[q.Model].floor(now, t.calm, t.opts.VersionLimit)
 	for _, m := range t.members {
 		u := m.upstream
 		if u.Service != q.Service || u.Leaving || u.Version < floor || slices.Contains(q.Without, u.ID) {
@@ -142,7 +143,7 @@
 		c.CostMS += p.DistanceMS
 	}
 	if q.Model != "" {
-		c.CostMS += t.engineCost(&c, m, load, q, home, sources[u.Version])
+		c.CostMS += t.engineCost(now, &c, m, load, q, home, sources[u.Version])
 	} else {
 		c.CostMS += p.PlainMS * float64(load.Requests)
 	}
@@ -167,7 +168,7 @@
 
 // engineCost estimates when the first token comes: what waits there is read
 // first, then what the engine lacks of the prompt.
-func (t *Table) engineCost(c *Choice, m *member, load Load, q Query, home bool, from source) float64 {
+func (t *Table) engineCost(now time.Time, c *Choice, m *member, load Load, q Query, home bool, from source) float64 {
 	p := t.opts.Policy
 	shared := 0
 	for _, part := range q.Parts {
@@ -191,6 +192,9 @@
 	cost += p.RunningMS * float64(load.Requests)
 	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
 		cost += p.OutdatedMS
+		if now.Sub(named.since) > t.opts.VersionLimit {
+			cost += expiredMS
+		}
 	}
 	capacity := t.caches[m.upstream.Service]
 	if need := load.Tokens + shared + q.OwnTokens + q.OutputTokens; capacity > 0 && need > capacity {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -83,6 +83,8 @@
 	// lapsed is when the entry was lost during an outage of the store.
 	lapsed  time.Time
 	loading time.Time
+	// heard is when the upstream last said anything.
+	heard time.Time
 	// updated is when new weights were seen.
 	updated time.Time
 }
@@ -115,6 +117,8 @@
 	caches map[string]int
 	sent   []Sent
 	store  *store
+	// calm is when the platform was last seen to be disturbed.
+	calm time.Time
 }
 
 type namedVersion struct {
@@ -125,8 +129,9 @@
 }
 
 // floor is the newest version that has been named for longer than limit.
-func (n namedVersion) floor(now time.Time, limit time.Duration) int64 {
-	if limit <= 0 {
+// Time before calm does not count: the limit is one for undisturbed spans.
+func (n namedVersion) floor(now, calm time.Time, limit time.Duration) int64 {
+	if limit <= 0 || now.Sub(calm) <= limit {
 		return 0
 	}
 	if n.version > 0 && now.Sub(n.since) > limit {
@@ -161,6 +166,13 @@
 	t.caches[service] = tokens
 }
 
+// Disturbed says that the platform's store does not answer.
+func (t *Table) Disturbed(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calm = now
+}
+
 // Change is what the store's news did to one upstream.
 type Change struct {
 	Upstream Upstream
@@ -438,11 +450,20 @@
 	return ids
 }
 
+// HeardWithin reports whether the upstream has said anything lately.
+func (t *Table) HeardWithin(now time.Time, id string, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	return m != nil && !m.heard.IsZero() && now.Sub(m.heard) < d
+}
+
 // Reached says that the upstream has answered.
-func (t *Table) Reached(id string) {
+func (t *Table) Reached(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
+		m.heard = now
 		m.avoid = time.Time{}
 		m.failures = 0
 	}
