internal/ingress: no request is sent that no engine can answer in time

Cause: in overload (a quarter of the engines dark, all prompts cold) queues grew past the callers' patience, and engines read prompts in vain. Change: a request whose estimated first token is past a multiple of its target is refused at once, with a time to come back that is spread.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -26,6 +27,12 @@
 	// request waits for the first byte before it goes to another upstream.
 	plainSilence  = 150 * time.Millisecond
 	streamSilence = 800 * time.Millisecond
+	// admitTargets is how many times its target latency a request may wait for
+	// its first token, by estimate.
+	admitTargets = 2.5
+	// returnShare is the part of their patience that callers wait at most before
+	// they come back.
+	returnShare = 4
 	// gapSilence is the least pause in a stream after which it is resumed elsewhere.
 	gapSilence = time.Second
 )
@@ -43,6 +50,7 @@
 	codeNoUpstream  = "no_upstream"
 	codeBroken      = "upstream_broken"
 	codeDeadline    = "deadline_passed"
+	codeBusy        = "busy"
 )
 
 // job is one request on its way. It is for one goroutine.
@@ -133,7 +141,7 @@
 		return false
 	}
 	switch e.Code {
-	case codeNoUpstream:
+	case codeNoUpstream, codeBusy:
 		return false
 	case codeUnreachable:
 		return j.unsent < unsentTries
@@ -199,6 +207,27 @@
 	return parts
 }
 
+// admitted refuses a request that no engine can answer in time: it would only
+// make the others wait as well.
+func (j *job) admitted(now time.Time, c roster.Choice) error {
+	if !j.service.Engine || j.runs+j.rejected+j.unsent > 0 || j.begun {
+		return nil
+	}
+	wait := time.Duration(c.WaitMS * float64(time.Millisecond))
+	limit := time.Duration(admitTargets * float64(j.route.TargetLatency))
+	if limit <= 0 || wait <= limit {
+		return nil
+	}
+	j.line(now).Float64("wait_ms", c.WaitMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
+	back := wait - limit/2
+	if j.request.Patience > 0 {
+		back = min(back, j.request.Patience/returnShare)
+	}
+	// Those refused together should not come back together.
+	back = back*3/4 + rand.N(back/2+1)
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeBusy, "no engine can answer in time").WithRetryAfter(back)
+}
+
 // attempt sends the request to one upstream and passes its answer on.
 func (j *job) attempt(ctx context.Context) error {
 	now := j.h.opts.Now()
@@ -212,6 +241,9 @@
 	if !found {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeNoUpstream, "no upstream of the service is known")
 	}
+	if err := j.admitted(now, choice); err != nil {
+		return err
+	}
 	u := choice.Upstream
 	j.tried = append(j.tried, u.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -75,6 +75,8 @@
 	Upstream Upstream
 	// CostMS is the estimate that decided, in milliseconds.
 	CostMS float64
+	// WaitMS is the estimate of the time until the first token.
+	WaitMS float64
 	// MissingTokens are the tokens that it is thought to have to read.
 	MissingTokens int
 	// Places says how many requests fit beside those that are there.
@@ -188,6 +190,7 @@
 		c.Save = t.store.upstream.Address
 	}
 	c.MissingTokens = int(missing) + q.OwnTokens
+	c.WaitMS = (float64(load.WaitingTokens) + missing + float64(q.OwnTokens)) / p.ReadTokensPerMS
 	cost := fetch + (float64(load.WaitingTokens)+p.SharedWeight*missing+float64(q.OwnTokens))/p.ReadTokensPerMS
 	cost += p.RunningMS * float64(load.Requests)
 	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
@@ -198,7 +201,9 @@
 	}
 	capacity := t.caches[m.upstream.Service]
 	if need := load.Tokens + shared + q.OwnTokens + q.OutputTokens; capacity > 0 && need > capacity {
-		cost += fullMS * float64(need) / float64(capacity)
+		full := fullMS * float64(need) / float64(capacity)
+		cost += full
+		c.WaitMS += full
 	}
 	return cost
 }
