--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -29,7 +29,7 @@
 	streamSilence = 800 * time.Millisecond
 	// admitTargets is how many times its target latency a request may wait for
 	// its first token, by estimate.
-	admitTargets = 2.5
+	admitTargets = 1.0
 	// returnShare is the part of their patience that callers wait at most before
 	// they come back.
 	returnShare = 4
