--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,99 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/routing"
+)
+
+func document() routing.Document {
+	urgent := 0
+	return routing.Document{
+		Version: 3,
+		Routes: []routing.Route{
+			{Name: "short", Host: "desk.example", Prefix: "/filings/", Targets: []routing.Target{{Service: "desk", Weight: 1}}},
+			{Name: "long", Host: "desk.example", Prefix: "/filings/permits/", Targets: []routing.Target{{Service: "desk", Weight: 1}}},
+			{Name: "open", Host: "open.example", Prefix: "/", Public: true},
+		},
+		Organisations: []routing.Organisation{{Name: "acme", Keys: []string{"k1", "k2"}, Priority: &urgent}},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	c := routing.New(7, document())
+	tests := map[string]struct {
+		host, path, want string
+	}{
+		"longest prefix":         {"desk.example", "/filings/permits/9", "long"},
+		"shorter prefix":         {"desk.example", "/filings/9", "short"},
+		"host in capitals, port": {"DESK.example:8080", "/filings/9", "short"},
+		"no slash at the end":    {"desk.example", "/filings", ""},
+		"other host":             {"else.example", "/filings/9", ""},
+		"every path":             {"open.example", "/", "open"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, _ := c.Match(test.host, test.path)
+			if diff := cmp.Diff(test.want, r.Name); diff != "" {
+				t.Errorf("route (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	c := routing.New(7, document())
+	for key, want := range map[string]string{"k1": "acme", "k2": "acme", "k3": "", "": ""} {
+		o, known := c.Authenticate(key)
+		if diff := cmp.Diff(want, o.Name); diff != "" || known != (want != "") {
+			t.Errorf("key %q: known %v (-want +got):\n%s", key, known, diff)
+		}
+	}
+	open, _ := c.Match("open.example", "/")
+	if c.NeedsKey(open) {
+		t.Error("a public route needs a key")
+	}
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var h routing.Holder
+	for _, step := range []struct {
+		revision uint64
+		taken    bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}, {8, false}} {
+		if taken := h.Offer(routing.New(step.revision, document())); taken != step.taken {
+			t.Errorf("revision %d taken: %v, want %v", step.revision, taken, step.taken)
+		}
+	}
+	if diff := cmp.Diff(uint64(9), h.Revision()); diff != "" {
+		t.Errorf("revision (-want +got):\n%s", diff)
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if diff := cmp.Diff(want, r.Target(draw)); diff != "" {
+			t.Errorf("draw %v (-want +got):\n%s", draw, diff)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := map[string]struct {
+		route routing.Route
+		want  bool
+	}{
+		"idempotent":       {routing.Route{Kind: routing.Idempotent}, true},
+		"non-idempotent":   {routing.Route{Kind: routing.NonIdempotent, Resumable: true}, false},
+		"stream":           {routing.Route{Kind: routing.Streaming}, false},
+		"resumable stream": {routing.Route{Kind: routing.Streaming, Resumable: true}, true},
+	}
+	for name, test := range tests {
+		if diff := cmp.Diff(test.want, test.route.Repeatable()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
