--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,191 @@
+package registry_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+)
+
+type page = registry.Page[string]
+
+type item = registry.Item[string]
+
+// fakeFeed answers calls from a script, then waits for the test's end.
+type fakeFeed struct {
+	mu    sync.Mutex
+	steps []step
+	calls []string
+}
+
+type step struct {
+	page page
+	err  error
+}
+
+func (f *fakeFeed) next(ctx context.Context, call string) (page, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, call)
+	if len(f.steps) == 0 {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return page{}, ctx.Err()
+	}
+	s := f.steps[0]
+	f.steps = f.steps[1:]
+	f.mu.Unlock()
+	return s.page, s.err
+}
+
+func (f *fakeFeed) List(ctx context.Context) (page, error) { return f.next(ctx, "list") }
+
+func (f *fakeFeed) Watch(ctx context.Context, _ uint64, _ time.Duration) (page, error) {
+	return f.next(ctx, "watch")
+}
+
+type told struct {
+	Whole    bool
+	Revision uint64
+	Names    []string
+	Lapse    bool
+}
+
+type fakeSink struct {
+	mu   sync.Mutex
+	told []told
+}
+
+func (s *fakeSink) note(whole bool, p page, lapse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := told{Whole: whole, Revision: p.Revision, Lapse: lapse}
+	for _, i := range p.Items {
+		name := i.Name
+		if i.Deleted {
+			name = "-" + name
+		}
+		n.Names = append(n.Names, name)
+	}
+	s.told = append(s.told, n)
+}
+
+func (s *fakeSink) Replace(_ time.Time, p page, lapse bool) { s.note(true, p, lapse) }
+
+func (s *fakeSink) Apply(_ time.Time, p page, lapse bool) { s.note(false, p, lapse) }
+
+func (s *fakeSink) all() []told {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]told(nil), s.told...)
+}
+
+func follow(t *testing.T, now func() time.Time, want int, steps ...step) (*fakeSink, *fakeFeed, *registry.Follower[string]) {
+	t.Helper()
+	feed, sink := &fakeFeed{steps: steps}, &fakeSink{}
+	f := registry.NewFollower(registry.Options[string]{Name: "test", Feed: feed, Sink: sink, Now: now, Log: zerolog.Nop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for end := time.Now().Add(5 * time.Second); len(sink.all()) < want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("told %d times after 5 s, want %d", len(sink.all()), want)
+		}
+	}
+	return sink, feed, f
+}
+
+func items(names ...string) []item {
+	var list []item
+	for _, n := range names {
+		list = append(list, item{Name: n, Revision: 1})
+	}
+	return list
+}
+
+func TestFollow(t *testing.T) {
+	tests := map[string]struct {
+		steps []step
+		want  []told
+	}{
+		"list, then changes": {
+			[]step{{page: page{5, items("a", "b")}}, {page: page{7, []item{{Name: "b", Deleted: true}}}}},
+			[]told{{true, 5, []string{"a", "b"}, false}, {false, 7, []string{"-b"}, false}},
+		},
+		"history gone": {
+			[]step{{page: page{5, items("a")}}, {err: registry.ErrHistoryGone}, {page: page{9, items("c")}}},
+			[]told{{true, 5, []string{"a"}, false}, {true, 9, []string{"c"}, false}},
+		},
+		"a stale list after history is gone": {
+			[]step{{page: page{5, items("a")}}, {err: registry.ErrHistoryGone}, {page: page{4, items("old")}}, {page: page{8, items("b")}}},
+			[]told{{true, 5, []string{"a"}, false}, {false, 8, []string{"b"}, false}},
+		},
+		"turned away, then served": {
+			[]step{{err: registry.ErrRefused}, {err: registry.ErrRefused}, {page: page{5, items("a")}}},
+			[]told{{true, 5, []string{"a"}, false}},
+		},
+		"nothing new": {
+			[]step{{page: page{5, items("a")}}, {page: page{Revision: 6}}, {page: page{7, items("b")}}},
+			[]told{{true, 5, []string{"a"}, false}, {false, 7, []string{"b"}, false}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sink, _, _ := follow(t, time.Now, len(test.want), test.steps...)
+			if diff := cmp.Diff(test.want, sink.all()); diff != "" {
+				t.Errorf("told (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOutage: what is missing after a lasting outage may come back.
+func TestOutage(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	clock := func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(400 * time.Millisecond)
+		return now
+	}
+	lost := errors.New("no answer")
+	sink, _, _ := follow(t, clock, 2,
+		step{page: page{5, items("a")}}, step{err: lost}, step{err: lost}, step{err: lost}, step{page: page{9, []item{{Name: "a", Deleted: true}}}})
+	want := []told{{true, 5, []string{"a"}, false}, {false, 9, []string{"-a"}, true}}
+	if diff := cmp.Diff(want, sink.all()); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
+
+// TestPeersState: a peer's newer state is taken, an older one never.
+func TestPeersState(t *testing.T) {
+	sink, _, f := follow(t, time.Now, 1, step{page: page{5, items("a")}})
+	for _, offer := range []struct {
+		revision uint64
+		taken    bool
+	}{{4, false}, {5, false}, {8, true}, {7, false}} {
+		if taken := f.Offer(time.Now(), page{offer.revision, items("p")}); taken != offer.taken {
+			t.Errorf("state %d taken: %v, want %v", offer.revision, taken, offer.taken)
+		}
+	}
+	if diff := cmp.Diff(2, len(sink.all())); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(page{8, items("p")}, f.Snapshot()); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
