--- /dev/null
+++ b/internal/beacon/beacon_test.go
@@ -0,0 +1,97 @@
+package beacon_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+)
+
+var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+func quiet() *beacon.Beacon { return beacon.New(beacon.Options{Log: zerolog.Nop()}) }
+
+func message(name string, incarnation int64, sequence uint64) beacon.Message {
+	return beacon.Message{Name: name, Incarnation: incarnation, Sequence: sequence, Address: "10.0.0.1:7000", State: beacon.Serving}
+}
+
+func TestTake(t *testing.T) {
+	tests := map[string]struct {
+		message beacon.Message
+		want    bool
+	}{
+		"next":                        {message("a", 5, 3), true},
+		"the same again":              {message("a", 5, 2), false},
+		"overtaken":                   {message("a", 5, 1), false},
+		"next start":                  {message("a", 6, 1), true},
+		"late word of an older start": {message("a", 4, 99), false},
+		"another VM":                  {message("b", 1, 1), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := quiet()
+			b.Take(start, message("a", 5, 2))
+			if diff := cmp.Diff(test.want, b.Take(start, test.message)); diff != "" {
+				t.Errorf("taken (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestSilentVMIsNotAlive(t *testing.T) {
+	b := quiet()
+	b.Take(start, message("a", 5, 2))
+	for after, want := range map[time.Duration]int{time.Second: 1, 2 * time.Second: 0} {
+		if diff := cmp.Diff(want, len(b.Alive(start.Add(after)))); diff != "" {
+			t.Errorf("alive after %v (-want +got):\n%s", after, diff)
+		}
+	}
+	if diff := cmp.Diff(2, b.Known()); diff != "" {
+		t.Errorf("known (-want +got):\n%s", diff)
+	}
+}
+
+// TestFindOneAnother: VMs that know one seed all find one another.
+func TestFindOneAnother(t *testing.T) {
+	const vms = 5
+	var all []*beacon.Beacon
+	var addresses []string
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range vms {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		address := conn.LocalAddr().String()
+		addresses = append(addresses, address)
+		b := beacon.New(beacon.Options{
+			Conn: conn, Now: time.Now, Period: 10 * time.Millisecond, Log: zerolog.Nop(), Receive: func(time.Time, beacon.Message) {},
+			Compose: func(time.Time) beacon.Message {
+				return beacon.Message{Name: fmt.Sprint("vm-", i), Incarnation: 1, Address: address, State: beacon.Serving}
+			},
+		})
+		b.Add(time.Now(), addresses[0])
+		all = append(all, b)
+		wg.Go(func() { b.Run(ctx) })
+	}
+	end := time.Now().Add(10 * time.Second)
+	for _, b := range all {
+		for len(b.Alive(time.Now())) < vms-1 {
+			if time.Now().After(end) {
+				t.Fatalf("%d peers known after 10 s, want %d", len(b.Alive(time.Now())), vms-1)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	cancel()
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/entryvm/settings_test.go
@@ -0,0 +1,95 @@
+package entryvm_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/entryvm"
+)
+
+// sample is what the platform fills the template's places with.
+var sample = map[string]string{
+	"node|json": `"edge-a-1"`, "zone|json": `"a"`, "ip|json": `"10.1.0.30"`,
+	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`,
+	"listen.directory|json": `"10.1.0.30:8780"`, "listen.control|json": `"10.1.0.30:8783"`,
+	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134",
+	"bounds.grace_s": "8", "bounds.lease_ms": "3000", "bounds.version_ms": "15000", "bounds.retry_budget_ratio": "0.2",
+	"bounds.budget_slack": "58", "bounds.budget_window_s": "10",
+}
+
+func fill(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`)
+	text := section.ReplaceAllString(string(raw), `"10.1.0.30:8783","10.2.0.22:8783"`)
+	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(text, func(place string) string {
+		value, found := sample[strings.Trim(place, "{}")]
+		if !found {
+			t.Errorf("the template names %s, which is no field of the platform's", place)
+		}
+		return value
+	})
+}
+
+func load(t *testing.T, text string) (entryvm.Settings, []string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, problems, err := entryvm.LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return s, lines
+}
+
+func TestTemplate(t *testing.T) {
+	got, problems := load(t, fill(t))
+	if diff := cmp.Diff([]string(nil), problems); diff != "" {
+		t.Errorf("problems (-want +got):\n%s", diff)
+	}
+	want := entryvm.DefaultSettings()
+	want.Name, want.DataCentre, want.IP = "edge-a-1", "a", "10.1.0.30"
+	want.CallersListen, want.ReadyListen = "10.1.0.30:8782", "10.1.0.30:8789"
+	want.DirectoryListen, want.ControlListen = "10.1.0.30:8780", "10.1.0.30:8783"
+	want.PeerPort, want.StoreAddress, want.MemoryMB = 7340, "10.200.1.7:8784", 134
+	want.Seeds = []string{"10.1.0.30:8783", "10.2.0.22:8783"}
+	want.RetrySlack = 58
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// TestBadSettings: each mistake is told with its field.
+func TestBadSettings(t *testing.T) {
+	tests := map[string]struct{ from, to, field string }{
+		"no name":          {`"edge-a-1"`, `""`, "name"},
+		"name for an IP":   {`"ip": "10.1.0.30"`, `"ip": "host"`, "ip"},
+		"address, no port": {`"10.200.1.7:8784"`, `"10.200.1.7"`, "store_address"},
+		"port too large":   {`7340`, `70000`, "peer_port"},
+		"wrong type":       {`134`, `"much"`, "memory_mb"},
+		"unknown field":    {`"peer_port"`, `"pear_port"`, "pear_port"},
+		"nothing filled":   {`3000`, ``, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, problems := load(t, strings.Replace(fill(t), test.from, test.to, 1))
+			if text := strings.Join(problems, "\n"); text == "" || !strings.Contains(text, test.field) {
+				t.Errorf("problems %q, want one that names %q", text, test.field)
+			}
+		})
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -88,7 +88,6 @@
 	callers        *khttp.Server
 	active         atomic.Int64
 	departed       atomic.Int64
-	once           sync.Once
 
 	// listed says that the named versions have been listed once. Only their
 	// follower uses it.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -142,7 +142,7 @@
 	if failed && a.route.Repeatable() && a.runs+1 < a.route.MaxAttempts && a.h.opts.Retries.Allow(a.h.opts.Now(), a.service.Name) {
 		a.runs++
 		a.h.count("attempts_again.upstream_failed")
-		return a.job.attempt(ctx)
+		return a.attempt(ctx)
 	}
 	if promisesNotRun(answer.Status) {
 		return a.broken(ctx, fmt.Errorf("the upstream answered with status %d and does not say that it has not run", answer.Status))
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -35,10 +36,10 @@
 	for {
 		line, err := e.r.ReadSlice('\n')
 		event.raw = append(event.raw, line...)
-		if err == bufio.ErrBufferFull {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(event.raw) > 0 {
+		if errors.Is(err, io.EOF) && len(event.raw) > 0 {
 			return streamEvent{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
