internal/entryvm, internal/beacon, internal/registry: cost of a large fleet

Change: six VMs watch, the others fetch changes from them; beacons go to near VMs first; a few VMs of its data centre follow an engine; far engines are for when near ones are full; what unfollowed engines keep is guessed.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -54,15 +54,17 @@
 
 // Message is one beacon.
 type Message struct {
-	Name        string    `json:"name"`
-	Incarnation int64     `json:"incarnation"`
-	Sequence    uint64    `json:"sequence"`
-	Address     string    `json:"address"`
-	Control     string    `json:"control"`
-	Callers     string    `json:"callers"`
-	DataCentre  string    `json:"data_centre"`
-	State       State     `json:"state"`
-	Revisions   Revisions `json:"revisions"`
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	Address     string `json:"address"`
+	Control     string `json:"control"`
+	Callers     string `json:"callers"`
+	DataCentre  string `json:"data_centre"`
+	State       State  `json:"state"`
+	// Watching says that the VM hears news from the store itself.
+	Watching  bool      `json:"watching,omitempty"`
+	Revisions Revisions `json:"revisions"`
 	// Loads holds requests, waiting tokens and tokens for each upstream in use.
 	Loads map[string][3]int `json:"loads,omitempty"`
 	Sent  []roster.Sent     `json:"sent,omitempty"`
@@ -92,8 +94,10 @@
 const (
 	defaultPeriod = 150 * time.Millisecond
 	// fanOut bounds the datagrams of one period, so that a VM's cost does not
-	// grow with the fleet.
-	fanOut = 12
+	// grow with the fleet. In a larger fleet most go to VMs of the own data
+	// centre, whose requests meet on the same upstreams.
+	fanOut    = 12
+	farFanOut = 4
 	// missedPeriods is how many beacons a VM may miss before it is thought dead.
 	missedPeriods = 8
 	// forgetAfter is how long a silent VM is still tried.
@@ -128,6 +132,9 @@
 	peers    map[string]Peer
 	// addresses are when each address was last known to be of use.
 	addresses map[string]time.Time
+	// near are the addresses in this VM's data centre.
+	near map[string]bool
+	own  string
 }
 
 // New returns a Beacon.
@@ -135,7 +142,7 @@
 	if opts.Period <= 0 {
 		opts.Period = defaultPeriod
 	}
-	return &Beacon{opts: opts, peers: make(map[string]Peer), addresses: make(map[string]time.Time)}
+	return &Beacon{opts: opts, peers: make(map[string]Peer), addresses: make(map[string]time.Time), near: make(map[string]bool)}
 }
 
 // Add names an address where a VM may be.
@@ -160,7 +167,7 @@
 	defer b.mu.Unlock()
 	var list []Peer
 	for _, p := range b.peers {
-		if now.Sub(p.Heard) < b.patience() {
+		if now.Sub(p.Heard) < b.patience(p.Address) {
 			list = append(list, p)
 		}
 	}
@@ -175,10 +182,17 @@
 	return 1 + len(b.peers)
 }
 
-// patience is how long a VM may be silent. In a large fleet each VM hears from
-// another one only now and then.
-func (b *Beacon) patience() time.Duration {
-	rounds := max(1, (len(b.addresses)+fanOut-1)/fanOut)
+// patience is how long the VM at an address may be silent. In a large fleet
+// each VM hears from another one only now and then.
+func (b *Beacon) patience(address string) time.Duration {
+	peers, share := len(b.addresses), fanOut
+	if peers > fanOut {
+		peers, share = len(b.near), fanOut-farFanOut
+		if !b.near[address] {
+			peers, share = len(b.addresses)-len(b.near), farFanOut
+		}
+	}
+	rounds := max(1, (peers+share-1)/share)
 	return time.Duration(rounds*missedPeriods) * b.opts.Period
 }
 
@@ -206,6 +220,7 @@
 	m := b.opts.Compose(now)
 	b.mu.Lock()
 	b.self = m.Address
+	b.own = m.DataCentre
 	b.sequence++
 	m.Sequence = b.sequence
 	targets := b.targets(now)
@@ -230,6 +245,7 @@
 	for address, at := range b.addresses {
 		if now.Sub(at) > forgetAfter {
 			delete(b.addresses, address)
+			delete(b.near, address)
 			continue
 		}
 		if address == b.self {
@@ -240,13 +256,25 @@
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(fanOut, len(list))]
+	if len(list) <= fanOut {
+		return list
+	}
+	var near, far []netip.AddrPort
+	for _, target := range list {
+		if b.near[target.String()] {
+			near = append(near, target)
+		} else {
+			far = append(far, target)
+		}
+	}
+	far = far[:min(farFanOut, len(far))]
+	return append(far, near[:min(fanOut-len(far), len(near))]...)
 }
 
 func (b *Beacon) named(now time.Time) []string {
 	var list []string
 	for _, p := range b.peers {
-		if len(list) < peersNamed && now.Sub(p.Heard) < b.patience() {
+		if len(list) < peersNamed && now.Sub(p.Heard) < b.patience(p.Address) {
 			list = append(list, p.Address)
 		}
 	}
@@ -293,6 +321,9 @@
 	b.peers[m.Name] = Peer{m, now}
 	b.add(now, m.Address)
 	b.addresses[m.Address] = now
+	if m.DataCentre == b.own {
+		b.near[m.Address] = true
+	}
 	for _, address := range m.Peers {
 		b.add(now, address)
 	}
--- a/internal/cachemap/cachemap.go
+++ b/internal/cachemap/cachemap.go
@@ -48,9 +48,6 @@
 	// restPeriod gathers events, so that a busy engine costs few calls.
 	restPeriod = 120 * time.Millisecond
 	failPause  = time.Second
-	// maxFollowers is how many VMs follow one engine at most; engines turn more
-	// than about that many away.
-	maxFollowers = 10
 )
 
 // Options sets up a Map. All are required but the log.
@@ -58,9 +55,10 @@
 	Source    Source
 	Upstreams *roster.Table
 	Now       func() time.Time
-	// VMs returns how many VMs there are.
-	VMs func() int
-	Log zerolog.Logger
+	// Share returns the share of VMs like this one that follow an upstream, 0 to
+	// 1. An engine turns more than a few followers away.
+	Share func(u roster.Upstream) float64
+	Log   zerolog.Logger
 }
 
 // Map follows the engines' events.
@@ -96,7 +94,6 @@
 
 // scan begins to follow engines that are new and leaves those that are gone.
 func (m *Map) scan(ctx context.Context, wg *sync.WaitGroup) {
-	share := float64(maxFollowers) / float64(max(1, m.opts.VMs()))
 	listed := make(map[string]bool)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -105,25 +102,31 @@
 			continue
 		}
 		key := u.Incarnation()
-		listed[key] = true
-		if m.following[key] != nil {
-			continue
-		}
 		if _, drawn := m.draws[key]; !drawn {
 			m.draws[key] = rand.Float64()
 		}
-		if m.draws[key] >= share {
-			continue
+		listed[key] = true
+		wanted := m.draws[key] < m.opts.Share(u)
+		cancel := m.following[key]
+		switch {
+		case wanted && cancel == nil:
+			following, cancel := context.WithCancel(ctx)
+			m.following[key] = cancel
+			wg.Go(func() { m.follow(following, u) })
+		case !wanted && cancel != nil:
+			// The fleet has turned out larger, and others follow the engine.
+			cancel()
+			delete(m.following, key)
 		}
-		following, cancel := context.WithCancel(ctx)
-		m.following[key] = cancel
-		wg.Go(func() { m.follow(following, u) })
 	}
-	for key, cancel := range m.following {
-		if !listed[key] {
+	for key := range m.draws {
+		if listed[key] {
+			continue
+		}
+		delete(m.draws, key)
+		if cancel := m.following[key]; cancel != nil {
 			cancel()
 			delete(m.following, key)
-			delete(m.draws, key)
 		}
 	}
 }
@@ -163,7 +166,7 @@
 	var since, epoch uint64
 	for ctx.Err() == nil {
 		u, found := m.opts.Upstreams.Store()
-		if !found || float64(maxFollowers) < float64(m.opts.VMs())*rand.Float64() {
+		if !found || rand.Float64() >= m.opts.Share(u) {
 			sleep(ctx, scanEvery)
 			continue
 		}
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,20 @@
 	maxSuspected = 16
 	maxSentTold  = 24
 	maxAddresses = 64
+	// allWatch is the largest fleet in which every VM watches the store; in a
+	// larger one fleetWatchers do.
+	allWatch      = 12
+	fleetWatchers = 6
+	// maxFollowers is how many VMs follow an engine in a small fleet, and
+	// maxLocalFollowers in a larger one; engines turn more than 8 to 12 away.
+	maxFollowers      = 10
+	maxLocalFollowers = 6
+	// meetPeriod is how long a VM that starts waits for its peers' beacons before
+	// it judges the size of the fleet.
+	meetPeriod = 1500 * time.Millisecond
+	// watcherSilence is how long no watcher's beacon may be heard before a VM
+	// watches the store itself.
+	watcherSilence = 2500 * time.Millisecond
 	// localLeast is how many VMs of a caller's data centre are enough.
 	localLeast = 2
 )
@@ -52,6 +67,7 @@
 	if len(m.Sent) > maxSentTold {
 		m.Sent = m.Sent[len(m.Sent)-maxSentTold:]
 	}
+	m.Watching = v.healthy() && v.watches(now)
 	m.LastFence = v.keeper.Fence()
 	if v.rollout.Working(now) {
 		m.Leading = m.LastFence
@@ -114,7 +130,7 @@
 }
 
 // fetchGrace is how long this VM's own watch has to bring what a peer knows.
-const fetchGrace = 250 * time.Millisecond
+const fetchGrace = 150 * time.Millisecond
 
 // fetch gets a peer's newer state of a collection, unless this VM's own watch
 // brings it first.
@@ -132,7 +148,7 @@
 		time.Sleep(fetchGrace)
 		if f.Revision() < theirs {
 			var page registry.Page[T]
-			err := v.fetchPage(m.Control, collection, &page)
+			err := v.fetchPage(m.Control, collection, f.Revision(), &page)
 			taken := err == nil && f.Offer(v.opts.Now(), page)
 			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs).
 				Uint64("own", own).Bool("taken", taken).AnErr("error", err).Msg("state fetched from a peer")
@@ -143,8 +159,8 @@
 	}()
 }
 
-func (v *VM) fetchPage(control, collection string, page any) error {
-	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection)
+func (v *VM) fetchPage(control, collection string, since uint64, page any) error {
+	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection + "?since=" + strconv.FormatUint(since, 10))
 	if err != nil {
 		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
 	}
@@ -158,14 +174,83 @@
 // controlHandler serves the other VMs and operators.
 func (v *VM) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/collections/configurations", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.configurations.Snapshot()) })
-	mux.HandleFunc("GET /v1/collections/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.upstreamFeed.Snapshot()) })
-	mux.HandleFunc("GET /v1/collections/versions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.versions.Snapshot()) })
+	serveCollection(mux, "configurations", v.configurations)
+	serveCollection(mux, "upstreams", v.upstreamFeed)
+	serveCollection(mux, "versions", v.versions)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { writeMetrics(w, v.metrics) })
 	return mux
 }
 
+// serveCollection gives peers what they lack of a collection.
+func serveCollection[T any](mux *http.ServeMux, name string, f *registry.Follower[T]) {
+	mux.HandleFunc("GET /v1/collections/"+name, func(w http.ResponseWriter, r *http.Request) {
+		since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		if err != nil {
+			since = 0 // the whole state
+		}
+		writeJSON(w, f.Snapshot(since))
+	})
+}
+
+// watches reports whether this VM watches the store: all do in a small fleet,
+// the first few by rendezvous hashing in a larger one, and those that hear of
+// none that does.
+func (v *VM) watches(now time.Time) bool {
+	if now.Sub(v.started) < meetPeriod {
+		return false
+	}
+	peers := v.beacon.Alive(now)
+	if len(peers)+1 <= allWatch {
+		return true
+	}
+	before, watching := 0, 0
+	own := xxhash.Sum64String("watch/" + v.settings.Name)
+	for _, p := range peers {
+		if p.State == beacon.Leaving {
+			continue
+		}
+		if xxhash.Sum64String("watch/"+p.Name) < own {
+			before++
+		}
+		if p.Watching && now.Sub(p.Heard) < watcherSilence {
+			watching++
+		}
+	}
+	return before < fleetWatchers || watching == 0
+}
+
+// followShare returns the share of VMs that follow an engine's events, so that
+// each engine has a few followers: all VMs in a small fleet, some of its own
+// data centre in a larger one. A store of kept prompts belongs to all.
+func (v *VM) followShare(u roster.Upstream) float64 {
+	if v.opts.Now().Sub(v.started) < meetPeriod {
+		return 0
+	}
+	peers := v.beacon.Alive(v.opts.Now())
+	if len(peers) < maxFollowers {
+		return 1
+	}
+	if u.Model == "" {
+		return maxFollowers / float64(len(peers)+1)
+	}
+	if u.DataCentre != v.settings.DataCentre {
+		return 0
+	}
+	local := 1
+	for _, p := range peers {
+		if p.DataCentre == v.settings.DataCentre {
+			local++
+		}
+	}
+	return maxLocalFollowers / float64(local)
+}
+
+// healthy reports whether this VM's calls to the store work.
+func (v *VM) healthy() bool {
+	return v.configurations.Healthy() && v.upstreamFeed.Healthy() && v.versions.Healthy()
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value) // the reader may have left
@@ -220,7 +305,8 @@
 		sleep(ctx, expireEvery)
 		now := v.opts.Now()
 		v.changed(now, v.upstreams.Expire(now))
-		if !v.configurations.Healthy() || !v.upstreamFeed.Healthy() || !v.versions.Healthy() {
+		v.upstreams.SetNearOnly(len(v.beacon.Alive(now))+1 > allWatch)
+		if !v.healthy() {
 			v.upstreams.Disturbed(now)
 		}
 	}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -51,6 +51,8 @@
 	// rest is for bytes received and not yet read.
 	memoryShare = 0.6
 	mebibyte    = 1 << 20
+	// garbagePercent trades memory, which the limit bounds, for processor time.
+	garbagePercent = 200
 	// versionMargin is how long a request may wait at an engine before it begins.
 	versionMargin = 1500 * time.Millisecond
 )
@@ -69,6 +71,7 @@
 	opts        Options
 	log         zerolog.Logger
 	incarnation int64
+	started     time.Time
 
 	store          *platform.Store
 	configuration  *routing.Holder
@@ -108,6 +111,7 @@
 		opts:          opts,
 		log:           opts.Log.With().Str("vm", s.Name).Logger(),
 		incarnation:   opts.Now().UnixMilli(),
+		started:       opts.Now(),
 		store:         platform.NewStore(s.StoreAddress),
 		configuration: &routing.Holder{},
 		suspects:      ingress.NewSuspects(),
@@ -115,31 +119,32 @@
 		peerClient:    &http.Client{Timeout: snapshotTimeout},
 		fetching:      make(map[string]bool),
 	}
+	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	versionLimit := milliseconds(s.VersionMS) - versionMargin
 	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, VersionLimit: versionLimit, Policy: roster.Policy{
 		ReadTokensPerMS: s.ReadTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
-	v.buildFollowers()
 	if err := v.buildBeacon(); err != nil {
 		return nil, err
 	}
+	v.buildFollowers()
 	v.buildRollout()
 	v.cachemap = cachemap.New(cachemap.Options{
-		Source: platform.NewCacheEvents(), Upstreams: v.upstreams, Now: v.opts.Now, VMs: v.beacon.Known, Log: v.log,
+		Source: platform.NewCacheEvents(), Upstreams: v.upstreams, Now: v.opts.Now, Share: v.followShare, Log: v.log,
 	})
 	return v, v.buildServers()
 }
 
 func (v *VM) buildFollowers() {
 	v.configurations = registry.NewFollower(registry.Options[routing.Document]{
-		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, Now: v.opts.Now, Log: v.log,
+		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
 	})
 	v.upstreamFeed = registry.NewFollower(registry.Options[roster.Upstream]{
-		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, Now: v.opts.Now, Log: v.log,
+		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
 	})
 	v.versions = registry.NewFollower(registry.Options[platform.NamedVersion]{
-		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, Log: v.log,
+		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
 	})
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -45,8 +45,10 @@
 
 // Page is a state of a collection, or the changes up to it.
 type Page[T any] struct {
-	Revision uint64    `json:"revision"`
-	Items    []Item[T] `json:"items"`
+	Revision uint64 `json:"revision"`
+	// Since is the revision that the changes start from. 0 marks a whole state.
+	Since uint64    `json:"since,omitempty"`
+	Items []Item[T] `json:"items"`
 }
 
 // Feed reads one collection. Its implementations are safe for concurrent use.
@@ -73,6 +75,8 @@
 	watchWait = 4 * time.Second
 	retryMin  = 60 * time.Millisecond
 	retryMost = 700 * time.Millisecond
+	// passivePause is how often a VM that does not watch looks whether it should.
+	passivePause = 150 * time.Millisecond
 	// returnPeriod is how long after an outage expired entries may come back.
 	returnPeriod = 2 * time.Second
 	// lastingOutage is the shortest outage in which entries expire.
@@ -86,7 +90,10 @@
 	Feed Feed[T]
 	Sink Sink[T]
 	Now  func() time.Time
-	Log  zerolog.Logger
+	// Watches reports whether this VM is one of those that watch the store. The
+	// others hear from them, so that calls don't grow with the fleet.
+	Watches func(now time.Time) bool
+	Log     zerolog.Logger
 }
 
 // Follower keeps up with one collection.
@@ -98,6 +105,10 @@
 	// changed is the revision at which the collection last differed.
 	changed uint64
 	items   map[string]Item[T]
+	// deleted are the items that went last, for peers that know less; those
+	// that went up to the revision forgotten are not among them.
+	deleted   []Item[T]
+	forgotten uint64
 	// failing is since when calls have failed; returned is when they worked again.
 	failing, returned time.Time
 }
@@ -129,25 +140,43 @@
 	return f.failing.IsZero()
 }
 
-// Snapshot returns the state that the Follower has, for a peer.
-func (f *Follower[T]) Snapshot() Page[T] {
+// maxDeleted bounds the items remembered that are gone.
+const maxDeleted = 256
+
+// Snapshot returns what a peer lacks that has come as far as since: the changes
+// from there, or the whole state.
+func (f *Follower[T]) Snapshot(since uint64) Page[T] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page := Page[T]{Revision: f.revision, Items: make([]Item[T], 0, len(f.items))}
+	page := Page[T]{Revision: f.revision, Items: []Item[T]{}}
+	if since > 0 && since >= f.forgotten {
+		page.Since = since
+		for _, item := range f.deleted {
+			if item.Revision > since {
+				page.Items = append(page.Items, item)
+			}
+		}
+	}
 	for _, item := range f.items {
-		page.Items = append(page.Items, item)
+		if item.Revision > page.Since {
+			page.Items = append(page.Items, item)
+		}
 	}
 	return page
 }
 
-// Offer takes a peer's state and reports whether it was newer.
+// Offer takes a peer's state or changes, and reports whether they were newer.
 func (f *Follower[T]) Offer(now time.Time, page Page[T]) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if page.Revision <= f.revision {
+	if page.Revision <= f.revision || page.Since > f.revision {
 		return false
 	}
-	f.replace(now, page)
+	if page.Since == 0 {
+		f.replace(now, page)
+		return true
+	}
+	f.apply(now, page)
 	return true
 }
 
@@ -156,6 +185,10 @@
 	list := true
 	pause := retryMin
 	for ctx.Err() == nil {
+		if !list && f.Revision() > 0 && !f.opts.Watches(f.opts.Now()) {
+			sleep(ctx, passivePause)
+			continue
+		}
 		err := f.step(ctx, list)
 		switch {
 		case err == nil:
@@ -232,6 +265,8 @@
 
 func (f *Follower[T]) replace(now time.Time, page Page[T]) {
 	f.revision = page.Revision
+	f.forgotten = page.Revision
+	f.deleted = nil
 	clear(f.items)
 	for _, item := range page.Items {
 		f.items[item.Name] = item
@@ -248,13 +283,25 @@
 	if page.Revision < f.revision || after != f.revision {
 		return
 	}
+	f.apply(now, page)
+}
+
+// apply takes changes. The caller holds the lock.
+func (f *Follower[T]) apply(now time.Time, page Page[T]) {
 	f.revision = page.Revision
 	for _, item := range page.Items {
-		if item.Deleted {
-			delete(f.items, item.Name)
-		} else {
+		if !item.Deleted {
 			f.items[item.Name] = item
+			continue
 		}
+		delete(f.items, item.Name)
+		// The item's own revision may be that of its last change.
+		item.Revision = page.Revision
+		f.deleted = append(f.deleted, item)
+	}
+	if drop := len(f.deleted) - maxDeleted; drop > 0 {
+		f.forgotten = f.deleted[drop-1].Revision
+		f.deleted = f.deleted[drop:]
 	}
 	if len(page.Items) > 0 {
 		f.changed = page.Revision
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,7 +90,7 @@
 func follow(t *testing.T, now func() time.Time, want int, steps ...step) (*fakeSink, *fakeFeed, *registry.Follower[string]) {
 	t.Helper()
 	feed, sink := &fakeFeed{steps: steps}, &fakeSink{}
-	f := registry.NewFollower(registry.Options[string]{Name: "test", Feed: feed, Sink: sink, Now: now, Log: zerolog.Nop()})
+	f := registry.NewFollower(registry.Options[string]{Name: "test", Feed: feed, Sink: sink, Now: now, Watches: func(time.Time) bool { return true }, Log: zerolog.Nop()})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -121,23 +123,23 @@
 		want  []told
 	}{
 		"list, then changes": {
-			[]step{{page: page{5, items("a", "b")}}, {page: page{7, []item{{Name: "b", Deleted: true}}}}},
+			[]step{{page: page{Revision: 5, Items: items("a", "b")}}, {page: page{Revision: 7, Items: []item{{Name: "b", Deleted: true}}}}},
 			[]told{{true, 5, []string{"a", "b"}, false}, {false, 7, []string{"-b"}, false}},
 		},
 		"history gone": {
-			[]step{{page: page{5, items("a")}}, {err: registry.ErrHistoryGone}, {page: page{9, items("c")}}},
+			[]step{{page: page{Revision: 5, Items: items("a")}}, {err: registry.ErrHistoryGone}, {page: page{Revision: 9, Items: items("c")}}},
 			[]told{{true, 5, []string{"a"}, false}, {true, 9, []string{"c"}, false}},
 		},
 		"a stale list after history is gone": {
-			[]step{{page: page{5, items("a")}}, {err: registry.ErrHistoryGone}, {page: page{4, items("old")}}, {page: page{8, items("b")}}},
+			[]step{{page: page{Revision: 5, Items: items("a")}}, {err: registry.ErrHistoryGone}, {page: page{Revision: 4, Items: items("old")}}, {page: page{Revision: 8, Items: items("b")}}},
 			[]told{{true, 5, []string{"a"}, false}, {false, 8, []string{"b"}, false}},
 		},
 		"turned away, then served": {
-			[]step{{err: registry.ErrRefused}, {err: registry.ErrRefused}, {page: page{5, items("a")}}},
+			[]step{{err: registry.ErrRefused}, {err: registry.ErrRefused}, {page: page{Revision: 5, Items: items("a")}}},
 			[]told{{true, 5, []string{"a"}, false}},
 		},
 		"nothing new": {
-			[]step{{page: page{5, items("a")}}, {page: page{Revision: 6}}, {page: page{7, items("b")}}},
+			[]step{{page: page{Revision: 5, Items: items("a")}}, {page: page{Revision: 6}}, {page: page{Revision: 7, Items: items("b")}}},
 			[]told{{true, 5, []string{"a"}, false}, {false, 7, []string{"b"}, false}},
 		},
 	}
@@ -164,7 +166,7 @@
 	}
 	lost := errors.New("no answer")
 	sink, _, _ := follow(t, clock, 2,
-		step{page: page{5, items("a")}}, step{err: lost}, step{err: lost}, step{err: lost}, step{page: page{9, []item{{Name: "a", Deleted: true}}}})
+		step{page: page{Revision: 5, Items: items("a")}}, step{err: lost}, step{err: lost}, step{err: lost}, step{page: page{Revision: 9, Items: []item{{Name: "a", Deleted: true}}}})
 	want := []told{{true, 5, []string{"a"}, false}, {false, 9, []string{"-a"}, true}}
 	if diff := cmp.Diff(want, sink.all()); diff != "" {
 		t.Errorf("told (-want +got):\n%s", diff)
@@ -173,19 +175,50 @@
 
 // TestPeersState: a peer's newer state is taken, an older one never.
 func TestPeersState(t *testing.T) {
-	sink, _, f := follow(t, time.Now, 1, step{page: page{5, items("a")}})
+	sink, _, f := follow(t, time.Now, 1, step{page: page{Revision: 5, Items: items("a")}})
 	for _, offer := range []struct {
 		revision uint64
 		taken    bool
 	}{{4, false}, {5, false}, {8, true}, {7, false}} {
-		if taken := f.Offer(time.Now(), page{offer.revision, items("p")}); taken != offer.taken {
+		if taken := f.Offer(time.Now(), page{Revision: offer.revision, Items: items("p")}); taken != offer.taken {
 			t.Errorf("state %d taken: %v, want %v", offer.revision, taken, offer.taken)
 		}
 	}
 	if diff := cmp.Diff(2, len(sink.all())); diff != "" {
 		t.Errorf("told (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(page{8, items("p")}, f.Snapshot()); diff != "" {
+	if diff := cmp.Diff(page{Revision: 8, Items: items("p")}, f.Snapshot(0)); diff != "" {
 		t.Errorf("state (-want +got):\n%s", diff)
 	}
 }
+
+// TestChangesForPeers: a peer that knows less gets the changes it lacks, and
+// the whole state where these are not known any more.
+func TestChangesForPeers(t *testing.T) {
+	_, _, f := follow(t, time.Now, 3, step{page: page{Revision: 5, Items: []item{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}}},
+		step{page: page{Revision: 7, Items: []item{{Name: "c", Revision: 7}}}},
+		step{page: page{Revision: 9, Items: []item{{Name: "a", Revision: 3, Deleted: true}}}})
+	tests := map[string]struct {
+		since uint64
+		want  page
+	}{
+		"knows all but the last": {7, page{Revision: 9, Since: 7, Items: []item{{Name: "a", Revision: 9, Deleted: true}}}},
+		"from before the list":   {4, page{Revision: 9, Items: []item{{Name: "b", Revision: 4}, {Name: "c", Revision: 7}}}},
+		"knows all":              {9, page{Revision: 9, Since: 9, Items: []item{}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := f.Snapshot(test.since)
+			slices.SortFunc(got.Items, func(a, b item) int { return strings.Compare(a.Name, b.Name) })
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("changes (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if f.Offer(time.Now(), page{Revision: 12, Since: 11}) {
+		t.Error("changes were taken that start after what is known")
+	}
+	if !f.Offer(time.Now(), page{Revision: 12, Since: 9, Items: items("d")}) || f.Revision() != 12 {
+		t.Error("changes that follow on were not taken")
+	}
+}
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -120,6 +120,8 @@
 	// order has the parts by their last use, the latest at the end.
 	order  list.List
 	tokens int
+	// followed says that the engine's events tell what it drops.
+	followed bool
 }
 
 type keptPart struct {
@@ -134,8 +136,12 @@
 // engines keep whole blocks.
 const blockSlack = 64
 
-// keptShare is the part of an engine's memory that is counted on for parts.
-const keptShare = 2.0
+// The parts of an engine's memory that are counted on for parts: where the
+// engine's own events tell what it drops, there is no need to guess.
+const (
+	guessedShare  = 0.9
+	followedShare = 2.0
+)
 
 func newKeptParts() *keptParts { return &keptParts{used: make(map[string]*keptPart)} }
 
@@ -154,7 +160,11 @@
 		k.order.PushBack(&keptPart{tokens: own})
 		k.tokens += own
 	}
-	for float64(k.tokens) > keptShare*float64(capacity) && k.order.Len() > 1 {
+	share := guessedShare
+	if k.followed {
+		share = followedShare
+	}
+	for float64(k.tokens) > share*float64(capacity) && k.order.Len() > 1 {
 		oldest := k.order.Remove(k.order.Front()).(*keptPart)
 		k.tokens -= oldest.tokens
 		delete(k.used, oldest.id)
@@ -225,6 +235,7 @@
 	if m == nil || m.upstream.Born != born {
 		return
 	}
+	m.kept.followed = true
 	for _, p := range parts {
 		if p.Version == m.upstream.Version {
 			m.kept.set(now, p)
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -142,7 +142,7 @@
 	load := m.total(now)
 	c := Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true}
 	if u.DataCentre != t.opts.DataCentre {
-		c.CostMS += p.DistanceMS
+		c.CostMS += t.distanceX * p.DistanceMS
 	}
 	if q.Model != "" {
 		c.CostMS += t.engineCost(now, &c, m, load, q, home, sources[u.Version])
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -221,14 +221,9 @@
 			tb := table(engine("keeps", 1), engine("free", 1))
 			tb.Begin(start, engine("keeps", 1), roster.Load{Requests: 14, WaitingTokens: 40_000}, parts, 0)
 			test.prepare(tb)
-			q := query()
-			q.Without = []string{"keeps"}
-			now := start.Add(time.Second)
-			// Sources are sought among all upstreams that may be picked.
-			q.Without = nil
-			c := pick(t, tb, now, q)
-			if c.Upstream.ID != "free" {
-				return // the engine itself keeps the prompt
+			c := pick(t, tb, start.Add(time.Second), query())
+			if diff := cmp.Diff("free", c.Upstream.ID); diff != "" {
+				t.Fatalf("engine (-want +got):\n%s", diff)
 			}
 			if diff := cmp.Diff(test.want, c.Source.ID); diff != "" {
 				t.Errorf("source (-want +got):\n%s", diff)
@@ -294,3 +289,50 @@
 		t.Errorf("engine after the news aged (-want +got):\n%s", diff)
 	}
 }
+
+// TestLargeFleetStaysNear: where far loads are hardly known, near engines are
+// used until they are full.
+func TestLargeFleetStaysNear(t *testing.T) {
+	far, near := engine("far", 1), engine("near", 1)
+	far.DataCentre = "b"
+	q := query()
+	q.Parts = nil
+	tests := map[string]struct {
+		nearOnly bool
+		running  int
+		want     string
+	}{
+		"small fleet, near is busy": {false, 8, "far"},
+		"large fleet, near is busy": {true, 8, "near"},
+		"large fleet, near is full": {true, 16, "far"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := table(far, near)
+			tb.SetNearOnly(test.nearOnly)
+			tb.Begin(start, near, roster.Load{Requests: test.running}, nil, 0)
+			if diff := cmp.Diff(test.want, pick(t, tb, start, q).Upstream.ID); diff != "" {
+				t.Errorf("engine (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEvictionsAreToldOrGuessed: an engine whose events are followed keeps what
+// it has not said to have dropped; of another the oldest parts are given up.
+func TestEvictionsAreToldOrGuessed(t *testing.T) {
+	for name, followed := range map[string]bool{"followed": true, "not followed": false} {
+		t.Run(name, func(t *testing.T) {
+			tb := table(engine("e", 1))
+			tb.Begin(start, engine("e", 1), roster.Load{}, parts, 0).End()
+			if followed {
+				tb.SetKept(start, "e", 1, nil)
+			}
+			tb.Begin(start, engine("e", 1), roster.Load{}, nil, cache).End()
+			got := pick(t, tb, start.Add(time.Second), query()).MissingTokens
+			if diff := cmp.Diff(followed, got == 2_000); diff != "" {
+				t.Errorf("the shared parts count as kept (-want +got):\n%s%d tokens to read", diff, got)
+			}
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -117,6 +117,8 @@
 	caches map[string]int
 	sent   []Sent
 	store  *store
+	// distanceX multiplies the cost of distance.
+	distanceX float64
 	// calm is when the platform was last seen to be disturbed.
 	calm time.Time
 }
@@ -152,10 +154,11 @@
 func New(opts Options) *Table {
 	opts.Policy = opts.Policy.withDefaults()
 	return &Table{
-		opts:    opts,
-		members: make(map[string]*member),
-		named:   make(map[string]namedVersion),
-		caches:  make(map[string]int),
+		opts:      opts,
+		members:   make(map[string]*member),
+		named:     make(map[string]namedVersion),
+		caches:    make(map[string]int),
+		distanceX: 1,
 	}
 }
 
@@ -166,6 +169,20 @@
 	t.caches[service] = tokens
 }
 
+// farX makes distance dear where the requests of far VMs are hardly known.
+const farX = 6
+
+// SetNearOnly says whether the loads of upstreams in other data centres are
+// known only now and then, so that they are to be used when near ones are full.
+func (t *Table) SetNearOnly(near bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.distanceX = 1
+	if near {
+		t.distanceX = farX
+	}
+}
+
 // Disturbed says that the platform's store does not answer.
 func (t *Table) Disturbed(now time.Time) {
 	t.mu.Lock()
