--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -268,12 +268,19 @@
 // enter lists this VM in the store and learns of the others.
 func (v *VM) enter(ctx context.Context) {
 	entered := false
+	failing := false
+	lost := func(err error, what string) {
+		if !failing {
+			v.log.Warn().Err(err).Msg(what)
+		}
+		failing = true
+	}
 	vms := v.store.VMs()
 	for ctx.Err() == nil {
 		wait := listEvery
 		if !entered {
 			if err := v.store.PutVM(ctx, v.settings.Name, v.peerAddress()); err != nil {
-				v.log.Warn().Err(err).Msg("VM not entered in the store")
+				lost(err, "VM not entered in the store")
 				wait = enterPause
 			} else {
 				entered = true
@@ -281,8 +288,11 @@
 		}
 		page, err := vms.List(ctx)
 		if err != nil {
-			v.log.Warn().Err(err).Msg("list of VMs not read")
+			lost(err, "list of VMs not read")
 			wait = enterPause
+		} else if failing && entered {
+			failing = false
+			v.log.Info().Msg("VM entered in the store, list of VMs read")
 		}
 		now := v.opts.Now()
 		for _, item := range page.Items {
