--- a/cmd/covectl/main.go
+++ b/cmd/covectl/main.go
@@ -14,6 +14,7 @@
 //	covectl ... drain
 //	covectl -entry 127.0.0.1:8001 entry
 //	covectl -entry 127.0.0.1:8001 -key-file key request 0190c1f0-...
+//	covectl explain 9c41d07be2a35f68 vm-1.log vm-2.log
 //
 // -json prints the node's answer for a script. covectl ends with status 0 on
 // success, 1 on a refusal or failure and 2 on wrong arguments.
@@ -66,7 +67,8 @@
 		return exitUsage
 	}
 	command, found := commands[flags.Arg(0)]
-	if !found || flags.NArg() != 1+command.args {
+	enough := flags.NArg() == 1+command.args || command.more && flags.NArg() > 1+command.args
+	if !found || !enough {
 		_, _ = fmt.Fprintf(stderr, "covectl: want a command: %s\n", usage())
 		return exitUsage
 	}
@@ -82,27 +84,30 @@
 
 type command struct {
 	args int
+	// more says that further arguments may follow.
+	more bool
 	help string
 	run  func(ctx context.Context, c *client, args []string) error
 }
 
 var commands = map[string]command{
-	"validate": {1, "validate FILE", validate},
-	"apply":    {1, "apply FILE", apply},
-	"delete":   {1, "delete KIND/NAME", remove},
-	"get":      {0, "get", get},
-	"diff":     {1, "diff FILE", diff},
-	"history":  {0, "history", history},
-	"rollback": {1, "rollback GENERATION", rollback},
-	"status":   {0, "status", status},
-	"dump":     {0, "dump", dump},
-	"drain":    {0, "drain", drain},
-	"entry":    {0, "entry", entry},
-	"request":  {1, "request KEY", lookup},
+	"validate": {1, false, "validate FILE", validate},
+	"apply":    {1, false, "apply FILE", apply},
+	"delete":   {1, false, "delete KIND/NAME", remove},
+	"get":      {0, false, "get", get},
+	"diff":     {1, false, "diff FILE", diff},
+	"history":  {0, false, "history", history},
+	"rollback": {1, false, "rollback GENERATION", rollback},
+	"status":   {0, false, "status", status},
+	"dump":     {0, false, "dump", dump},
+	"drain":    {0, false, "drain", drain},
+	"entry":    {0, false, "entry", entry},
+	"request":  {1, false, "request KEY", lookup},
+	"explain":  {2, true, "explain REQUEST_ID LOG...", explain},
 }
 
 func usage() string {
-	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request"}
+	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request", "explain"}
 	var help []string
 	for _, name := range order {
 		help = append(help, commands[name].help)
