internal/roster: a guessed age of a version is told to nobody

A VM that starts in a rolling restart counts half of the limit as passed for what it lists first, and told its peers that guess as the version's age; they took the earlier time and left the other engines out. Change: a guess is marked, is told to nobody, and a peer's word replaces it.

--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -93,23 +93,30 @@
 type versionSink struct{ *VM }
 
 // Replace implements registry.Sink.
-// What the first list names may have been in force for long.
+// What the first list names may have been in force for long; until peers tell
+// for how long, half of the limit counts as passed.
 func (v versionSink) Replace(now time.Time, page registry.Page[platform.NamedVersion], _ bool) {
+	take := v.upstreams.SetNamed
 	if !v.listed {
+		take = v.upstreams.AssumeNamed
 		now = now.Add(-milliseconds(v.settings.VersionMS) / 2)
 		v.listed = true
 	}
-	v.Apply(now, page, false)
+	v.named(now, page, take)
 }
 
 // Apply implements registry.Sink.
 func (v versionSink) Apply(now time.Time, page registry.Page[platform.NamedVersion], _ bool) {
+	v.named(now, page, v.upstreams.SetNamed)
+}
+
+func (v versionSink) named(at time.Time, page registry.Page[platform.NamedVersion], take func(time.Time, string, int64) bool) {
 	for _, item := range page.Items {
 		if item.Deleted || item.Problem != "" {
 			v.log.Warn().Str("object", item.Name).Str("problem", item.Problem).Msg("named version not usable")
 			continue
 		}
-		if v.upstreams.SetNamed(now, item.Value.Model, item.Value.Version) {
+		if take(at, item.Value.Model, item.Value.Version) {
 			v.log.Info().Str("model", item.Value.Model).Int64("version", item.Value.Version).Msg("version named")
 		}
 	}
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -336,3 +336,26 @@
 		})
 	}
 }
+
+// TestGuessedAgeIsNotTold: in a rolling restart, a VM that has just started
+// guesses how long a version has been named; its guess must not make peers
+// leave out engines whose time is not up.
+func TestGuessedAgeIsNotTold(t *testing.T) {
+	fresh := table(engines(3, 1)...)
+	fresh.AssumeNamed(start.Add(-7*time.Second), "m", 2)
+	if diff := cmp.Diff([]roster.NamedAge(nil), fresh.NamedAges(start)); diff != "" {
+		t.Errorf("ages told (-want +got):\n%s", diff)
+	}
+	if _, found := fresh.Pick(start.Add(4*time.Second), query()); found {
+		t.Error("the guess does not count at the VM itself")
+	}
+	fresh.SetNamed(start, "m", 2)
+	if _, found := fresh.Pick(start.Add(4*time.Second), query()); !found {
+		t.Error("a peer's word does not replace the guess")
+	}
+	fresh.AssumeNamed(start.Add(-9*time.Second), "m", 2)
+	want := []roster.NamedAge{{Model: "m", Version: 2, AgeMS: 1_000}}
+	if diff := cmp.Diff(want, fresh.NamedAges(start.Add(time.Second))); diff != "" {
+		t.Errorf("ages told (-want +got):\n%s", diff)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -126,6 +126,8 @@
 type namedVersion struct {
 	version int64
 	since   time.Time
+	// assumed says that since is a guess, which no peer is told.
+	assumed bool
 	// earlier are the versions named before, oldest first.
 	earlier []namedVersion
 }
@@ -321,29 +323,47 @@
 // SetNamed takes a version of a model's weights that was named at a time, and
 // reports whether it is newer than those known. Of two times the earlier holds.
 func (t *Table) SetNamed(at time.Time, model string, version int64) bool {
+	return t.setNamed(model, namedVersion{version: version, since: at})
+}
+
+// AssumeNamed takes a version that has been named for a time that this VM can
+// only guess. A peer's word on it replaces the guess.
+func (t *Table) AssumeNamed(at time.Time, model string, version int64) bool {
+	return t.setNamed(model, namedVersion{version: version, since: at, assumed: true})
+}
+
+func (t *Table) setNamed(model string, n namedVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.named[model]
-	if version > old.version {
+	if n.version > old.version {
 		earlier := slices.Clone(old.earlier)
 		if old.version > 0 {
-			earlier = append(earlier, namedVersion{version: old.version, since: old.since})
+			earlier = append(earlier, namedVersion{version: old.version, since: old.since, assumed: old.assumed})
 		}
-		t.named[model] = namedVersion{version, at, earlier[max(0, len(earlier)-maxEarlier):]}
+		n.earlier = earlier[max(0, len(earlier)-maxEarlier):]
+		t.named[model] = n
 		return true
 	}
-	if version == old.version && at.Before(old.since) {
-		old.since = at
-		t.named[model] = old
+	if n.version == old.version {
+		t.named[model] = old.corrected(n)
 	}
 	for i, e := range old.earlier {
-		if e.version == version && at.Before(e.since) {
-			old.earlier[i].since = at
+		if e.version == n.version {
+			old.earlier[i] = e.corrected(n)
 		}
 	}
 	return false
 }
 
+// corrected returns what is known after another word on the same version.
+func (n namedVersion) corrected(by namedVersion) namedVersion {
+	if !by.assumed && (n.assumed || by.since.Before(n.since)) {
+		n.since, n.assumed = by.since, false
+	}
+	return n
+}
+
 // namedTold is how many versions of a model are told to peers.
 const namedTold = 4
 
@@ -352,10 +372,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ages []NamedAge
+	add := func(model string, n namedVersion) {
+		if !n.assumed {
+			ages = append(ages, NamedAge{model, n.version, now.Sub(n.since).Milliseconds()})
+		}
+	}
 	for model, n := range t.named {
-		ages = append(ages, NamedAge{model, n.version, now.Sub(n.since).Milliseconds()})
+		add(model, n)
 		for _, e := range n.earlier[max(0, len(n.earlier)-namedTold+1):] {
-			ages = append(ages, NamedAge{model, e.version, now.Sub(e.since).Milliseconds()})
+			add(model, e)
 		}
 	}
 	return ages
