internal/beacon, internal/registry: prompts sent are told to all near VMs

Change: near VMs take turns, and prompts are told for as many rounds as that takes; in a large fleet changes of upstreams gather for 0.3 s.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -135,6 +135,8 @@
 	// near are the addresses in this VM's data centre.
 	near map[string]bool
 	own  string
+	// turn is where in the near ones the next period begins.
+	turn int
 }
 
 // New returns a Beacon.
@@ -255,7 +257,6 @@
 			list = append(list, parsed)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	if len(list) <= fanOut {
 		return list
 	}
@@ -267,8 +268,27 @@
 			far = append(far, target)
 		}
 	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	far = far[:min(farFanOut, len(far))]
-	return append(far, near[:min(fanOut-len(far), len(near))]...)
+	// The near ones take turns, so that Rounds periods reach them all.
+	slices.SortFunc(near, netip.AddrPort.Compare)
+	for i := range min(fanOut-farFanOut, len(near)) {
+		far = append(far, near[(b.turn+i)%len(near)])
+	}
+	b.turn += fanOut - farFanOut
+	return far
+}
+
+// Rounds returns in how many periods a message reaches every VM whose requests
+// meet this one's on the same upstreams.
+func (b *Beacon) Rounds() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.addresses) <= fanOut {
+		return 1
+	}
+	share := fanOut - farFanOut
+	return max(1, (len(b.near)+share-1)/share)
 }
 
 func (b *Beacon) named(now time.Time) []string {
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -36,6 +36,8 @@
 	// maxLocalFollowers in a larger one; engines turn more than 8 to 12 away.
 	maxFollowers      = 10
 	maxLocalFollowers = 6
+	// gatherPeriod is short against the bounds for leaving upstreams.
+	gatherPeriod = 300 * time.Millisecond
 	// meetPeriod is how long a VM that starts waits for its peers' beacons before
 	// it judges the size of the fleet.
 	meetPeriod = 1500 * time.Millisecond
@@ -52,7 +54,7 @@
 		Name: v.settings.Name, Incarnation: v.incarnation, Address: v.peerAddress(), Control: v.settings.ControlListen,
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.changedAt(), Loads: make(map[string][3]int),
-		Sent: v.upstreams.TakeSent(), Avoided: v.upstreams.Avoided(now),
+		Sent: v.sentLately(), Avoided: v.upstreams.Avoided(now),
 		Updated: v.upstreams.Updated(now), Named: v.upstreams.NamedAges(now),
 	}
 	switch {
@@ -64,9 +66,6 @@
 	for id, l := range v.upstreams.OwnLoad() {
 		m.Loads[id] = [3]int{l.Requests, l.WaitingTokens, l.Tokens}
 	}
-	if len(m.Sent) > maxSentTold {
-		m.Sent = m.Sent[len(m.Sent)-maxSentTold:]
-	}
 	m.Watching = v.healthy() && v.watches(now)
 	m.LastFence = v.keeper.Fence()
 	if v.rollout.Working(now) {
@@ -80,6 +79,27 @@
 	return m
 }
 
+// sentLately returns what has been sent since the last beacon, and what not all
+// near VMs have been told yet. Only the beacon's goroutines call it.
+func (v *VM) sentLately() []roster.Sent {
+	fresh := v.upstreams.TakeSent()
+	fresh = fresh[max(0, len(fresh)-maxSentTold):]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sentRounds = append(v.sentRounds, fresh)
+	v.sentRounds = v.sentRounds[max(0, len(v.sentRounds)-v.beacon.Rounds()):]
+	return slices.Concat(v.sentRounds...)
+}
+
+// upstreamRest is how long a watcher lets changes of upstreams gather. In a
+// large fleet many change at once, and each answer of a watch costs a call.
+func (v *VM) upstreamRest() time.Duration {
+	if len(v.beacon.Alive(v.opts.Now()))+1 <= allWatch {
+		return 0
+	}
+	return gatherPeriod
+}
+
 func (v *VM) revisions() beacon.Revisions {
 	return beacon.Revisions{
 		Configuration: v.configurations.Revision(), Upstreams: v.upstreamFeed.Revision(), Versions: v.versions.Revision(),
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -98,7 +98,9 @@
 
 	mu        sync.Mutex
 	suspected []beacon.Suspicion
-	fetching  map[string]bool
+	// sentRounds are what the last beacons told of prompts sent.
+	sentRounds [][]roster.Sent
+	fetching   map[string]bool
 	// leader is the VM that was last seen to give orders, and under which number.
 	leader      string
 	leaderFence uint64
@@ -141,7 +143,7 @@
 		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
 	})
 	v.upstreamFeed = registry.NewFollower(registry.Options[roster.Upstream]{
-		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
+		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, Rest: v.upstreamRest, Now: v.opts.Now, Watches: v.watches, Log: v.log,
 	})
 	v.versions = registry.NewFollower(registry.Options[platform.NamedVersion]{
 		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, Watches: v.watches, Log: v.log,
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -83,7 +83,7 @@
 	lastingOutage = 500 * time.Millisecond
 )
 
-// Options sets up a Follower. All are required.
+// Options sets up a Follower. All but Rest are required.
 type Options[T any] struct {
 	// Name is the collection's name in logs.
 	Name string
@@ -93,7 +93,9 @@
 	// Watches reports whether this VM is one of those that watch the store. The
 	// others hear from them, so that calls don't grow with the fleet.
 	Watches func(now time.Time) bool
-	Log     zerolog.Logger
+	// Rest, if it is set, returns how long changes may gather before the next watch.
+	Rest func() time.Duration
+	Log  zerolog.Logger
 }
 
 // Follower keeps up with one collection.
@@ -224,6 +226,9 @@
 		return err
 	}
 	f.watched(f.opts.Now(), after, page)
+	if f.opts.Rest != nil && len(page.Items) > 0 {
+		sleep(ctx, f.opts.Rest())
+	}
 	return nil
 }
 
