--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -95,3 +95,54 @@
 	cancel()
 	wg.Wait()
 }
+
+// TestNearVMsTakeTurns: in a large fleet every near VM gets one of as many
+// beacons as Rounds says, and the datagrams of a period stay bounded.
+func TestNearVMsTakeTurns(t *testing.T) {
+	const near, far = 20, 40
+	conn := &fakeConn{sent: make(map[string]int)}
+	b := beacon.New(beacon.Options{Conn: conn, Now: time.Now, Log: zerolog.Nop(), Compose: func(time.Time) beacon.Message {
+		return beacon.Message{Name: "self", Address: "10.0.0.1:7000", DataCentre: "a"}
+	}})
+	b.Send(start)
+	for i := range near + far {
+		m := message(fmt.Sprint("vm-", i), 1, 1)
+		m.Address = fmt.Sprintf("10.0.1.%d:7000", i+1)
+		m.DataCentre = "b"
+		if i < near {
+			m.DataCentre = "a"
+		}
+		b.Take(start, m)
+	}
+	for range b.Rounds() {
+		before := conn.total()
+		b.Send(start)
+		if n := conn.total() - before; n > 12 {
+			t.Errorf("%d datagrams in a period, want at most 12", n)
+		}
+	}
+	for i := range near {
+		if address := fmt.Sprintf("10.0.1.%d:7000", i+1); conn.sent[address] == 0 {
+			t.Errorf("%s got none of %d beacons", address, b.Rounds())
+		}
+	}
+}
+
+// fakeConn counts datagrams by where they go.
+type fakeConn struct {
+	net.PacketConn
+	sent map[string]int
+}
+
+func (c *fakeConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.sent[to.String()]++
+	return len(p), nil
+}
+
+func (c *fakeConn) total() int {
+	n := 0
+	for _, count := range c.sent {
+		n += count
+	}
+	return n
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -73,7 +73,8 @@
 	// runs counts the attempts that may have run, rejected those that an
 	// upstream turned away, unsent those that found no connection.
 	runs, rejected, unsent int
-	// ranUpstream is the first upstream that may have run the request.
+	// begun says that the caller has got the head of a stream, lastEvent is the
+	// last event that it has.
 	begun     bool
 	lastEvent string
 }
