--- a/internal/cachemap/cachemap.go
+++ b/internal/cachemap/cachemap.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 // Batch is a run of events of one start of an engine.
@@ -143,7 +144,7 @@
 			if ctx.Err() == nil && !m.opts.Upstreams.HeardWithin(m.opts.Now(), u.ID, eventWait+callSlack) {
 				m.opts.Upstreams.Unreachable(m.opts.Now(), u.ID)
 			}
-			sleep(ctx, failPause/2+rand.N(failPause))
+			wait.For(ctx, failPause/2+rand.N(failPause))
 			continue
 		}
 		m.opts.Upstreams.Reached(m.opts.Now(), u.ID)
@@ -156,7 +157,7 @@
 		}
 		epoch, since = batch.Epoch, batch.Next
 		m.opts.Upstreams.SetKept(m.opts.Now(), u.ID, u.Born, batch.Kept)
-		sleep(ctx, restPeriod)
+		wait.For(ctx, restPeriod)
 	}
 }
 
@@ -167,7 +168,7 @@
 	for ctx.Err() == nil {
 		u, found := m.opts.Upstreams.Store()
 		if !found || rand.Float64() >= m.opts.Share(u) {
-			sleep(ctx, scanEvery)
+			wait.For(ctx, scanEvery)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, eventWait+callSlack)
@@ -177,7 +178,7 @@
 			m.opts.Upstreams.SetStoreUp(false)
 			m.opts.Log.Warn().Str("store", u.Address).Err(err).Msg("store of kept prompts lost")
 			since, epoch = 0, 0
-			sleep(ctx, failPause/2+rand.N(failPause))
+			wait.For(ctx, failPause/2+rand.N(failPause))
 			continue
 		}
 		if batch.Epoch != epoch {
@@ -191,15 +192,6 @@
 		}
 		epoch, since = batch.Epoch, batch.Next
 		m.opts.Upstreams.SetStored(m.opts.Now(), batch.Kept)
-		sleep(ctx, restPeriod)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wait.For(ctx, restPeriod)
 	}
 }
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -91,28 +92,6 @@
 	return slices.Concat(v.sentRounds...)
 }
 
-// upstreamRest is how long a watcher lets changes of upstreams gather. In a
-// large fleet many change at once, and each answer of a watch costs a call.
-func (v *VM) upstreamRest() time.Duration {
-	if len(v.beacon.Alive(v.opts.Now()))+1 <= allWatch {
-		return 0
-	}
-	return gatherPeriod
-}
-
-func (v *VM) revisions() beacon.Revisions {
-	return beacon.Revisions{
-		Configuration: v.configurations.Revision(), Upstreams: v.upstreamFeed.Revision(), Versions: v.versions.Revision(),
-	}
-}
-
-// changedAt returns the revisions of the last changes that this VM knows.
-func (v *VM) changedAt() beacon.Revisions {
-	return beacon.Revisions{
-		Configuration: v.configurations.Changed(), Upstreams: v.upstreamFeed.Changed(), Versions: v.versions.Changed(),
-	}
-}
-
 // receive takes a peer's beacon.
 func (v *VM) receive(now time.Time, m beacon.Message) {
 	loads := make(map[string]roster.Load, len(m.Loads))
@@ -213,64 +192,6 @@
 	})
 }
 
-// watches reports whether this VM watches the store: all do in a small fleet,
-// the first few by rendezvous hashing in a larger one, and those that hear of
-// none that does.
-func (v *VM) watches(now time.Time) bool {
-	if now.Sub(v.started) < meetPeriod {
-		return false
-	}
-	peers := v.beacon.Alive(now)
-	if len(peers)+1 <= allWatch {
-		return true
-	}
-	before, watching := 0, 0
-	own := xxhash.Sum64String("watch/" + v.settings.Name)
-	for _, p := range peers {
-		if p.State == beacon.Leaving {
-			continue
-		}
-		if xxhash.Sum64String("watch/"+p.Name) < own {
-			before++
-		}
-		if p.Watching && now.Sub(p.Heard) < watcherSilence {
-			watching++
-		}
-	}
-	return before < fleetWatchers || watching == 0
-}
-
-// followShare returns the share of VMs that follow an engine's events, so that
-// each engine has a few followers: all VMs in a small fleet, some of its own
-// data centre in a larger one. A store of kept prompts belongs to all.
-func (v *VM) followShare(u roster.Upstream) float64 {
-	if v.opts.Now().Sub(v.started) < meetPeriod {
-		return 0
-	}
-	peers := v.beacon.Alive(v.opts.Now())
-	if len(peers) < maxFollowers {
-		return 1
-	}
-	if u.Model == "" {
-		return maxFollowers / float64(len(peers)+1)
-	}
-	if u.DataCentre != v.settings.DataCentre {
-		return 0
-	}
-	local := 1
-	for _, p := range peers {
-		if p.DataCentre == v.settings.DataCentre {
-			local++
-		}
-	}
-	return maxLocalFollowers / float64(local)
-}
-
-// healthy reports whether this VM's calls to the store work.
-func (v *VM) healthy() bool {
-	return v.configurations.Healthy() && v.upstreamFeed.Healthy() && v.versions.Healthy()
-}
-
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value) // the reader may have left
@@ -297,11 +218,11 @@
 	}
 	vms := v.store.VMs()
 	for ctx.Err() == nil {
-		wait := listEvery
+		next := listEvery
 		if !entered {
 			if err := v.store.PutVM(ctx, v.settings.Name, v.peerAddress()); err != nil {
 				lost(err, "VM not entered in the store")
-				wait = enterPause
+				next = enterPause
 			} else {
 				entered = true
 			}
@@ -309,7 +230,7 @@
 		page, err := vms.List(ctx)
 		if err != nil {
 			lost(err, "list of VMs not read")
-			wait = enterPause
+			next = enterPause
 		} else if failing && entered {
 			failing = false
 			v.log.Info().Msg("VM entered in the store, list of VMs read")
@@ -320,7 +241,7 @@
 				v.beacon.Add(now, item.Value)
 			}
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, next)
 	}
 	if v.departed.Load() != 0 {
 		if err := v.store.DropVM(context.WithoutCancel(ctx), v.settings.Name); err != nil {
@@ -332,7 +253,7 @@
 // keepUp drops upstreams whose entries have not come back.
 func (v *VM) keepUp(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expireEvery)
+		wait.For(ctx, expireEvery)
 		now := v.opts.Now()
 		v.changed(now, v.upstreams.Expire(now))
 		v.upstreams.SetNearOnly(len(v.beacon.Alive(now))+1 > allWatch)
@@ -407,12 +328,3 @@
 	}
 	return 0
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/logline/writer.go
+++ b/internal/logline/writer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ring"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -79,7 +80,7 @@
 			w.write([][]byte{fmt.Appendf(nil, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", dropped-told)})
 			told = dropped
 		}
-		pause(ctx, max(flushPeriod, time.Duration(len(lines))*time.Second/time.Duration(w.opts.PerSecond)))
+		wait.For(ctx, max(flushPeriod, time.Duration(len(lines))*time.Second/time.Duration(w.opts.PerSecond)))
 	}
 	for {
 		lines, err := w.lines.PopAll(ctx, batch)
@@ -99,12 +100,3 @@
 		w.dropped.Add(int64(len(lines)))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -119,7 +120,7 @@
 	nextRepair := 0
 	for round := 1; ; round++ {
 		jitter := time.Duration(rand.Int64N(int64(a.opts.Period) / 5))
-		if !sleep(ctx, a.opts.Period-a.opts.Period/10+jitter) {
+		if !wait.For(ctx, a.opts.Period-a.opts.Period/10+jitter) {
 			return
 		}
 		a.table.Expire(a.opts.Now())
@@ -210,7 +211,7 @@
 // pushes tells news to a few random members as soon as there are any.
 func (a *Agent) pushes(ctx context.Context) {
 	told := uint64(0)
-	for sleep(ctx, a.opts.PushPeriod) {
+	for wait.For(ctx, a.opts.PushPeriod) {
 		changes := a.table.Changes()
 		if changes == told {
 			continue
@@ -277,14 +278,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 // The kinds of facts that nodes spread, beside health.FactKind.
@@ -221,12 +222,12 @@
 	var version uint64
 	for ctx.Err() == nil {
 		if !n.chosen("configuration") {
-			sleep(ctx, watchRetry)
+			wait.For(ctx, watchRetry)
 			continue
 		}
 		document, next, err := n.publisher.Await(ctx, version)
 		if err != nil {
-			sleep(ctx, watchRetry)
+			wait.For(ctx, watchRetry)
 			continue
 		}
 		if next > version {
@@ -284,7 +285,7 @@
 	if n.opts.Lister == nil {
 		return
 	}
-	for sleep(ctx, vmListPeriod) {
+	for wait.For(ctx, vmListPeriod) {
 		if !n.chosen("vm_list") {
 			continue
 		}
@@ -312,7 +313,7 @@
 // seekPeers calls the peers of the settings that are not known here, less and
 // less often while none answers: they may have started after this node.
 func (n *Node) seekPeers(ctx context.Context) {
-	for pause := seekPause; sleep(ctx, pause); pause = min(2*pause, seekPauseMost) {
+	for pause := seekPause; wait.For(ctx, pause); pause = min(2*pause, seekPauseMost) {
 		address, found := n.stranger(n.settings.Peers)
 		if found && n.agent.Join(ctx, []string{address}) > 0 {
 			pause = seekPause
@@ -344,7 +345,7 @@
 
 // sizeGates lets as many requests into a pool as its live upstreams can hold.
 func (n *Node) sizeGates(ctx context.Context) {
-	for sleep(ctx, gatePeriod) {
+	for wait.For(ctx, gatePeriod) {
 		slots := make(map[string]int)
 		for _, pool := range n.holder.Current().Catalogue.Pools() {
 			live := len(n.upstreams.Candidates(n.opts.Now(), pool.Name))
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -57,7 +59,7 @@
 func (l *quietListener) awaitQuiet(ctx context.Context) {
 	const pause = 20 * time.Millisecond
 	end := l.now().Add(quietLimit)
-	for sleep(ctx, pause) {
+	for wait.For(ctx, pause) {
 		now := l.now()
 		quiet := now.UnixNano()-l.last.Load() >= int64(quietPeriod) && !l.awaitsRequest()
 		if quiet || now.After(end) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -336,7 +337,7 @@
 	n.members.Leave()
 	n.log.Info().Msg("node is leaving")
 	n.tellAll(ctx)
-	sleep(ctx, n.settings.EntryTTL()+slack)
+	wait.For(ctx, n.settings.EntryTTL()+slack)
 	n.listener.awaitQuiet(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
@@ -360,14 +361,3 @@
 	}
 	return g
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 // The errors of a Feed and of a Book.
@@ -188,7 +190,7 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		if !list && f.Revision() > 0 && !f.opts.Watches(f.opts.Now()) {
-			sleep(ctx, passivePause)
+			wait.For(ctx, passivePause)
 			continue
 		}
 		err := f.step(ctx, list)
@@ -206,7 +208,7 @@
 			return
 		}
 		f.failed(f.opts.Now(), err)
-		sleep(ctx, pause/2+rand.N(pause))
+		wait.For(ctx, pause/2+rand.N(pause))
 		pause = min(retryMost, 2*pause)
 	}
 }
@@ -227,7 +229,7 @@
 	}
 	f.watched(f.opts.Now(), after, page)
 	if f.opts.Rest != nil && len(page.Items) > 0 {
-		sleep(ctx, f.opts.Rest())
+		wait.For(ctx, f.opts.Rest())
 	}
 	return nil
 }
@@ -313,12 +315,3 @@
 		f.opts.Sink.Apply(now, page, f.lapse(now))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
