--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -88,7 +88,6 @@
 	peerClient     *http.Client
 	metrics        metrics.Registry
 	app            *kratos.App
-	callers        *khttp.Server
 	active         atomic.Int64
 	departed       atomic.Int64
 
@@ -239,7 +238,6 @@
 		if i == 0 {
 			server.ConnContext = watched.Context
 			server.ConnState = watched.Note
-			v.callers = server
 		}
 		all = append(all, server)
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -99,7 +99,7 @@
 		a.h.opts.Upstreams.SetLoading(now, a.upstream.ID)
 	}
 	if head.Version > 0 {
-		a.h.opts.Upstreams.SawVersion(a.h.opts.Now(), a.upstream.ID, a.upstream.Born, head.Version)
+		a.h.opts.Upstreams.SawVersion(now, a.upstream.ID, a.upstream.Born, head.Version)
 	}
 	a.h.count("rejections." + strconv.Itoa(answer.Status))
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRejected,
