internal/rollout, internal/roster: ages of named versions outlive all VMs

Ruled out: a start that counts as a disturbance (the followers are healthy until a call fails).

Change: the lease, which is written all through a rollout, carries the ages; a new holder takes them over before it writes, each VM reads them at its start. Earlier versions learnt late are kept in order. Spans of undisturbed time also count in total (version_total_ms), which no code did.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -105,12 +106,7 @@
 	for _, u := range m.Updated {
 		v.upstreams.SawVersion(now, u.ID, u.Born, u.Version)
 	}
-	for _, n := range m.Named {
-		// Only the store's word makes a version known here.
-		if newest, _ := v.upstreams.Named(n.Model); n.Version <= newest {
-			v.upstreams.SetNamed(now.Add(-time.Duration(n.AgeMS)*time.Millisecond), n.Model, n.Version)
-		}
-	}
+	v.takeAges(now, m.Named)
 	for _, s := range m.Suspected {
 		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
 	}
@@ -128,6 +124,40 @@
 	fetch(v, "versions", m, m.Revisions.Versions, own.Versions, v.versions)
 }
 
+// takeAges takes another's word on how long versions have been named. Only the
+// store's makes a version known here.
+func (v *VM) takeAges(now time.Time, ages []roster.NamedAge) {
+	for _, n := range ages {
+		if newest, _ := v.upstreams.Named(n.Model); n.Version <= newest {
+			v.upstreams.SetNamed(now.Add(-milliseconds(int(n.AgeMS))), n.Model, n.Version)
+		}
+	}
+}
+
+// recallVersions takes from the lease for how long versions have been named:
+// after a loss of all VMs no peer can tell.
+func (v *VM) recallVersions(ctx context.Context) {
+	for ctx.Err() == nil {
+		if v.versions.Revision() == 0 {
+			wait.For(ctx, expireEvery)
+			continue
+		}
+		lease, err := v.leases.Read(ctx)
+		if errors.Is(err, registry.ErrNotFound) {
+			return
+		}
+		if err != nil {
+			wait.For(ctx, enterPause)
+			continue
+		}
+		now := v.opts.Now()
+		ages := lease.NamedAges(now)
+		v.takeAges(now, ages)
+		v.log.Info().Uint64("fence", lease.Fence).Interface("named", ages).Msg("ages of versions recalled")
+		return
+	}
+}
+
 // fetchGrace is how long this VM's own watch has to bring what a peer knows.
 const fetchGrace = 150 * time.Millisecond
 
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -36,6 +36,7 @@
 	EntryTTLMS       int     `json:"entry_ttl_ms"`
 	LeaseMS          int     `json:"lease_ms"`
 	VersionMS        int     `json:"version_ms"`
+	VersionTotalMS   int     `json:"version_total_ms"`
 	RetryRatio       float64 `json:"retry_ratio"`
 	RetrySlack       float64 `json:"retry_slack"`
 	RetryWindowMS    int     `json:"retry_window_ms"`
@@ -54,6 +55,7 @@
 		EntryTTLMS:       1_000,
 		LeaseMS:          3_000,
 		VersionMS:        15_000,
+		VersionTotalMS:   21_000,
 		RetryRatio:       0.2,
 		RetrySlack:       50,
 		RetryWindowMS:    10_000,
@@ -105,6 +107,7 @@
 		{"entry_ttl_ms", s.EntryTTLMS, 100, 60_000},
 		{"lease_ms", s.LeaseMS, 100, 600_000},
 		{"version_ms", s.VersionMS, 100, 3_600_000},
+		{"version_total_ms", s.VersionTotalMS, 100, 3_600_000},
 		{"retry_window_ms", s.RetryWindowMS, 100, 3_600_000},
 		{"log_lines_per_s", s.LogLinesPerS, 1, 1_000_000},
 		{"connect_timeout_ms", s.ConnectTimeoutMS, 1, 10_000},
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -80,6 +80,7 @@
 	upstreamFeed   *registry.Follower[roster.Upstream]
 	versions       *registry.Follower[platform.NamedVersion]
 	suspects       *ingress.Suspects
+	leases         platform.LeaseBook
 	keeper         *rollout.Keeper
 	rollout        *rollout.Rollout
 	cachemap       *cachemap.Map
@@ -122,8 +123,8 @@
 	}
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
-	versionLimit := milliseconds(s.VersionMS) - versionMargin
-	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, VersionLimit: versionLimit, Policy: roster.Policy{
+	limits := roster.VersionLimits{Span: milliseconds(s.VersionMS) - versionMargin, Total: milliseconds(s.VersionTotalMS) - versionMargin}
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, VersionLimits: limits, Policy: roster.Policy{
 		ReadTokensPerMS: s.ReadTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
 	if err := v.buildBeacon(); err != nil {
@@ -176,13 +177,16 @@
 func (v *VM) buildRollout() {
 	dialer := exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(v.settings.ConnectTimeoutMS)})
 	clock := rollout.Clock{Now: v.opts.Now, Boot: v.opts.Boot}
+	v.leases = platform.LeaseBook{Store: v.store, Name: "rollout"}
 	v.keeper = rollout.NewKeeper(rollout.LeaseOptions{
-		Book:        platform.LeaseBook{Store: v.store, Name: "rollout"},
+		Book:        v.leases,
 		Clock:       clock,
 		Holder:      v.settings.Name,
 		Incarnation: v.incarnation,
 		Turn:        milliseconds(v.settings.LeaseMS),
 		Resigned:    v.resigned,
+		Named:       v.upstreams.NamedAges,
+		Recall:      v.takeAges,
 		Log:         v.log,
 	})
 	v.rollout = rollout.New(rollout.Options{
@@ -270,7 +274,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.cachemap.Run, v.enter, v.keepUp,
+		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.cachemap.Run, v.enter, v.keepUp, v.recallVersions,
 	} {
 		wg.Go(func() { duty(duties) })
 	}
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
 // Lease is the stored word on who may give orders.
@@ -21,10 +23,29 @@
 	// Renewal grows with each renewal, so that each write changes the object.
 	Renewal  uint64 `json:"renewal"`
 	Released bool   `json:"released"`
+	// Named are the versions known to the writer, and WrittenMS its time of day
+	// in Unix milliseconds, for VMs that start when no other runs.
+	Named     []roster.NamedAge `json:"named,omitempty"`
+	WrittenMS int64             `json:"written_ms,omitempty"`
 	// Revision is the object's revision in the store. Zero stands for none.
 	Revision uint64 `json:"-"`
 }
 
+// MostDowntime bounds what is believed of the time since a lease was written:
+// times of day may differ and jump.
+const MostDowntime = 30 * time.Second
+
+// NamedAges returns for how long versions have been named, at the reader's
+// time of day.
+func (l Lease) NamedAges(now time.Time) []roster.NamedAge {
+	since := min(MostDowntime, max(0, now.Sub(time.UnixMilli(l.WrittenMS))))
+	ages := slices.Clone(l.Named)
+	for i := range ages {
+		ages[i].AgeMS += since.Milliseconds()
+	}
+	return ages
+}
+
 // Book keeps the lease in the store.
 type Book interface {
 	// Read returns the lease, or registry.ErrNotFound.
@@ -55,7 +76,11 @@
 	// Resigned reports whether a holder has said itself that it holds the lease
 	// of this number no longer.
 	Resigned func(holder string, incarnation int64, fence uint64) bool
-	Log      zerolog.Logger
+	// Named returns for how long versions have been named, and Recall takes what
+	// the lease of another holder says of it, before that is replaced.
+	Named  func(now time.Time) []roster.NamedAge
+	Recall func(now time.Time, ages []roster.NamedAge)
+	Log    zerolog.Logger
 }
 
 const (
@@ -164,6 +189,7 @@
 	if err != nil {
 		return fmt.Errorf("rollout: read lease: %w", err)
 	}
+	k.opts.Recall(now, found.NamedAges(now))
 	k.mu.Lock()
 	if found.Revision != k.lease.Revision || k.seen.IsZero() {
 		k.lease = found
@@ -196,6 +222,7 @@
 func (k *Keeper) write(ctx context.Context, l Lease, opens, waits time.Time) error {
 	now, boot := k.opts.Clock.Now(), k.opts.Clock.Boot()
 	l.Released = false
+	l.Named, l.WrittenMS = k.opts.Named(now), now.UnixMilli()
 	written, err := k.opts.Book.Write(ctx, l)
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
 func may(k *rollout.Keeper, c *fakeClock) bool {
@@ -185,3 +187,51 @@
 		}
 	})
 }
+
+// TestAgesOutliveAllVMs: all VMs lose power during a rollout. What the lease
+// says of the versions named is still there, and the time since counts.
+func TestAgesOutliveAllVMs(t *testing.T) {
+	tests := map[string]struct {
+		// clock is how far the reader's time of day is from the writer's.
+		clock time.Duration
+		want  time.Duration
+	}{
+		"same time of day":     {0, 9500 * time.Millisecond},
+		"clock that went back": {-time.Minute, 6 * time.Second},
+		"clock that ran ahead": {time.Hour, 6*time.Second + rollout.MostDowntime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, c := &fakeBook{}, newClock()
+			named := []roster.NamedAge{{Model: "m", Version: 3, AgeMS: 6_000}}
+			k := rollout.NewKeeper(rollout.LeaseOptions{
+				Book: b, Clock: c.clock(), Holder: "a", Turn: turn, Log: zerolog.Nop(),
+				Resigned: func(string, int64, uint64) bool { return false },
+				Named:    func(time.Time) []roster.NamedAge { return named },
+				Recall:   func(time.Time, []roster.NamedAge) {},
+			})
+			if err := k.Acquire(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			now := start.Add(3500 * time.Millisecond).Add(test.clock)
+			want := []roster.NamedAge{{Model: "m", Version: 3, AgeMS: test.want.Milliseconds()}}
+			if diff := cmp.Diff(want, b.lease.NamedAges(now)); diff != "" {
+				t.Errorf("ages (-want +got):\n%s", diff)
+			}
+			// The first VM that starts again leads at once, before it has read more.
+			var recalled []roster.NamedAge
+			next := rollout.NewKeeper(rollout.LeaseOptions{
+				Book: b, Clock: rollout.Clock{Now: func() time.Time { return now }, Boot: c.clock().Boot}, Holder: "a", Incarnation: 2,
+				Turn: turn, Resigned: func(string, int64, uint64) bool { return false },
+				Named:  func(time.Time) []roster.NamedAge { return recalled },
+				Recall: func(_ time.Time, ages []roster.NamedAge) { recalled = ages },
+			})
+			if err := next.Acquire(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, b.lease.NamedAges(now)); diff != "" {
+				t.Errorf("ages in the new holder's lease (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -36,6 +36,8 @@
 	keeper := rollout.NewKeeper(rollout.LeaseOptions{
 		Book: s.book, Clock: clock, Holder: "a", Incarnation: 1, Turn: 100 * time.Millisecond,
 		Resigned: func(string, int64, uint64) bool { return false },
+		Named:    s.table.NamedAges,
+		Recall:   func(time.Time, []roster.NamedAge) {},
 	})
 	s.vm = rollout.New(rollout.Options{
 		Keeper: keeper, Engines: s.engines, Upstreams: s.table, Clock: clock, Holder: "a", Turn: func(time.Time) int { return 0 },
--- /dev/null
+++ b/internal/roster/disturbances.go
@@ -0,0 +1,61 @@
+package roster
+
+import "time"
+
+// VersionLimits bound the use of weights after newer ones have been named. The
+// zero value sets no limit.
+type VersionLimits struct {
+	// Span is the longest span without disturbance.
+	Span time.Duration
+	// Total is what such spans may add up to. Zero sets no limit.
+	Total time.Duration
+}
+
+const (
+	// leastSpan is the shortest span that counts for the total.
+	leastSpan = 2 * time.Second
+	// sameDisturbance is over the time between two looks at the platform.
+	sameDisturbance = time.Second
+	// maxDisturbances bounds those remembered.
+	maxDisturbances = 64
+)
+
+// span is a time in which the platform was disturbed.
+type span struct{ from, to time.Time }
+
+// disturbances are the times in which the platform was seen to be disturbed,
+// oldest first. They are immutable.
+type disturbances []span
+
+// With returns the disturbances with one at now.
+func (d disturbances) With(now time.Time) disturbances {
+	if n := len(d); n > 0 && now.Sub(d[n-1].to) < sameDisturbance {
+		longer := append(disturbances(nil), d...)
+		longer[n-1].to = now
+		return longer
+	}
+	return append(append(disturbances(nil), d[max(0, len(d)-maxDisturbances+1):]...), span{now, now})
+}
+
+// exceeded reports whether the time from since to now, without disturbances, is
+// over the limits.
+func (d disturbances) exceeded(since, now time.Time, limits VersionLimits) bool {
+	var total time.Duration
+	over := func(calm time.Duration) bool {
+		if calm >= leastSpan {
+			total += calm
+		}
+		return calm > limits.Span || limits.Total > 0 && total > limits.Total
+	}
+	from := since
+	for _, s := range d {
+		if s.to.Before(from) {
+			continue
+		}
+		if over(s.from.Sub(from)) {
+			return true
+		}
+		from = s.to
+	}
+	return over(now.Sub(from))
+}
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -97,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*member
-	floor := t.named[q.Model].floor(now, t.calm, t.opts.VersionLimit)
+	floor := t.named[q.Model].floor(now, t.disturbed, t.opts.VersionLimits)
 	for _, m := range t.members {
 		u := m.upstream
 		if u.Service != q.Service || u.Leaving || u.Version < floor || slices.Contains(q.Without, u.ID) {
@@ -195,7 +195,7 @@
 	cost += p.RunningMS * float64(load.Requests)
 	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
 		cost += p.OutdatedMS
-		if now.Sub(named.since) > t.opts.VersionLimit {
+		if now.Sub(named.since) > t.opts.VersionLimits.Span {
 			cost += expiredMS
 		}
 	}
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -28,7 +28,7 @@
 }
 
 func table(list ...roster.Upstream) *roster.Table {
-	t := roster.New(roster.Options{DataCentre: "a", VersionLimit: 10 * time.Second})
+	t := roster.New(roster.Options{DataCentre: "a", VersionLimits: roster.VersionLimits{Span: 10 * time.Second}})
 	t.SetCache("lm", cache)
 	t.Replace(start, list, false)
 	return t
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -100,9 +100,9 @@
 	DataCentre string
 	// Policy weighs the upstreams.
 	Policy Policy
-	// VersionLimit is how long after newer weights were named an engine with
-	// older ones may be given requests. Zero sets no limit.
-	VersionLimit time.Duration
+	// VersionLimits bound how long after newer weights were named an engine with
+	// older ones may be given requests.
+	VersionLimits VersionLimits
 }
 
 // Table holds the upstreams.
@@ -119,8 +119,8 @@
 	store  *store
 	// distanceX multiplies the cost of distance.
 	distanceX float64
-	// calm is when the platform was last seen to be disturbed.
-	calm time.Time
+	// disturbed is when the platform was seen to be disturbed.
+	disturbed disturbances
 }
 
 // New returns an empty Table.
@@ -160,7 +160,7 @@
 func (t *Table) Disturbed(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.calm = now
+	t.disturbed = t.disturbed.With(now)
 }
 
 // Change is what the store's news did to one upstream.
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,17 +15,17 @@
 	earlier []namedVersion
 }
 
-// floor is the newest version that has been named for longer than limit.
-// Time before calm does not count: the limit is one for undisturbed spans.
-func (n namedVersion) floor(now, calm time.Time, limit time.Duration) int64 {
-	if limit <= 0 || now.Sub(calm) <= limit {
+// floor is the newest version that has been named for longer than the limits
+// allow, in time that was not disturbed.
+func (n namedVersion) floor(now time.Time, d disturbances, limits VersionLimits) int64 {
+	if limits.Span <= 0 {
 		return 0
 	}
-	if n.version > 0 && now.Sub(n.since) > limit {
+	if n.version > 0 && d.exceeded(n.since, now, limits) {
 		return n.version
 	}
 	for _, e := range slices.Backward(n.earlier) {
-		if now.Sub(e.since) > limit {
+		if d.exceeded(e.since, now, limits) {
 			return e.version
 		}
 	}
@@ -68,11 +69,18 @@
 	}
 	if n.version == old.version {
 		t.named[model] = old.corrected(n)
+		return false
 	}
-	for i, e := range old.earlier {
-		if e.version == n.version {
-			old.earlier[i] = e.corrected(n)
-		}
+	i, known := slices.BinarySearchFunc(old.earlier, n.version, func(e namedVersion, version int64) int {
+		return cmp.Compare(e.version, version)
+	})
+	switch {
+	case known:
+		old.earlier[i] = old.earlier[i].corrected(n)
+	case n.version > 0 && len(old.earlier) < maxEarlier:
+		// A VM that has just started has listed the newest version only.
+		old.earlier = slices.Insert(old.earlier, i, n)
+		t.named[model] = old
 	}
 	return false
 }
