internal/roster, internal/beacon: prompts of a large fleet go by agreement

Most processor time went into following events of 140 engines and into sorting peers for each of them.

Change: in fleets of more than 12 VMs a prompt has one home by rendezvous hashing over all engines and three more to go to; nothing is told or followed of what is kept; loads that are heard of in part are scaled; what others are changing is passed on with its age, and so is what two peers can't reach.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -71,12 +71,14 @@
 	// LastFence is the number of the last lease that the VM had. Leading is the
 	// same while it may give orders under it, else 0. Loading are the engines
 	// that it is changing.
-	LastFence uint64        `json:"last_fence,omitempty"`
-	Leading   uint64        `json:"leading,omitempty"`
-	Loading   []string      `json:"loading,omitempty"`
-	Updated   []roster.Seen `json:"updated,omitempty"`
-	Avoided   []string      `json:"avoided,omitempty"`
-	Suspected []Suspicion   `json:"suspected,omitempty"`
+	LastFence uint64   `json:"last_fence,omitempty"`
+	Leading   uint64   `json:"leading,omitempty"`
+	Loading   []string `json:"loading,omitempty"`
+	// Changing are the engines that some VM is changing, as the sender has heard.
+	Changing  []roster.Announcement `json:"changing,omitempty"`
+	Updated   []roster.Seen         `json:"updated,omitempty"`
+	Avoided   []string              `json:"avoided,omitempty"`
+	Suspected []Suspicion           `json:"suspected,omitempty"`
 	// Named are the versions that operators named last. A VM that starts can't
 	// tell from the store for how long they have been in force.
 	Named []roster.NamedAge `json:"named,omitempty"`
@@ -129,14 +131,13 @@
 	mu       sync.Mutex
 	self     string
 	sequence uint64
-	peers    map[string]Peer
+	peers    map[string]*Peer
 	// addresses are when each address was last known to be of use.
 	addresses map[string]time.Time
 	// near are the addresses in this VM's data centre.
-	near map[string]bool
-	own  string
-	// turn is where in the near ones the next period begins.
-	turn int
+	near  map[string]bool
+	own   string
+	turns Turns[netip.AddrPort]
 }
 
 // New returns a Beacon.
@@ -144,7 +145,7 @@
 	if opts.Period <= 0 {
 		opts.Period = defaultPeriod
 	}
-	return &Beacon{opts: opts, peers: make(map[string]Peer), addresses: make(map[string]time.Time), near: make(map[string]bool)}
+	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]time.Time), near: make(map[string]bool)}
 }
 
 // Add names an address where a VM may be.
@@ -163,17 +164,18 @@
 	}
 }
 
-// Alive returns the peers that have been heard lately, ordered by name.
-func (b *Beacon) Alive(now time.Time) []Peer {
+// Alive returns the peers that have been heard lately, ordered by name. They
+// are not to be changed.
+func (b *Beacon) Alive(now time.Time) []*Peer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []Peer
+	list := make([]*Peer, 0, len(b.peers))
 	for _, p := range b.peers {
 		if now.Sub(p.Heard) < b.patience(p.Address) {
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(x, y Peer) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(list, func(x, y *Peer) int { return strings.Compare(x.Name, y.Name) })
 	return list
 }
 
@@ -268,15 +270,24 @@
 			far = append(far, target)
 		}
 	}
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	far = far[:min(farFanOut, len(far))]
 	// The near ones take turns, so that Rounds periods reach them all.
 	slices.SortFunc(near, netip.AddrPort.Compare)
+	return b.turns.Next(near, far, rand.Shuffle)
+}
+
+// Turns says whom a VM of a large fleet tells in each period.
+type Turns[T any] struct{ next int }
+
+// Next returns the next near ones in turn and some far ones by chance.
+func (t *Turns[T]) Next(near, far []T, shuffle func(n int, swap func(i, j int))) []T {
+	far = slices.Clone(far)
+	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	list := far[:min(farFanOut, len(far))]
 	for i := range min(fanOut-farFanOut, len(near)) {
-		far = append(far, near[(b.turn+i)%len(near)])
+		list = append(list, near[(t.next+i)%len(near)])
 	}
-	b.turn += fanOut - farFanOut
-	return far
+	t.next += fanOut - farFanOut
+	return list
 }
 
 // Rounds returns in how many periods a message reaches every VM whose requests
@@ -287,8 +298,13 @@
 	if len(b.addresses) <= fanOut {
 		return 1
 	}
-	share := fanOut - farFanOut
-	return max(1, (len(b.near)+share-1)/share)
+	return NearRounds(len(b.near))
+}
+
+// NearRounds returns in how many periods Turns reaches so many near ones.
+func NearRounds(near int) int {
+	const perPeriod = fanOut - farFanOut
+	return max(1, (near+perPeriod-1)/perPeriod)
 }
 
 func (b *Beacon) named(now time.Time) []string {
@@ -338,7 +354,7 @@
 	if known && old.Address != m.Address {
 		delete(b.addresses, old.Address)
 	}
-	b.peers[m.Name] = Peer{m, now}
+	b.peers[m.Name] = &Peer{m, now}
 	b.add(now, m.Address)
 	b.addresses[m.Address] = now
 	if m.DataCentre == b.own {
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -30,14 +30,12 @@
 	maxSuspected = 16
 	maxSentTold  = 24
 	maxAddresses = 64
-	// allWatch is the largest fleet in which every VM watches the store; in a
-	// larger one fleetWatchers do.
-	allWatch      = 12
+	// fleetWatchers is how many VMs watch the store in a sparse fleet; in a
+	// smaller one all do.
 	fleetWatchers = 6
-	// maxFollowers is how many VMs follow an engine in a small fleet, and
-	// maxLocalFollowers in a larger one; engines turn more than 8 to 12 away.
-	maxFollowers      = 10
-	maxLocalFollowers = 6
+	// maxFollowers is how many VMs follow an engine or a store of kept prompts,
+	// which turn more than 8 to 12 away.
+	maxFollowers = 10
 	// gatherPeriod is short against the bounds for leaving upstreams.
 	gatherPeriod = 300 * time.Millisecond
 	// meetPeriod is how long a VM that starts waits for its peers' beacons before
@@ -57,7 +55,7 @@
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.changedAt(), Loads: make(map[string][3]int),
 		Sent: v.sentLately(), Avoided: v.upstreams.Avoided(now),
-		Updated: v.upstreams.Updated(now), Named: v.upstreams.NamedAges(now),
+		Changing: v.upstreams.Announced(now), Updated: v.upstreams.Updated(now), Named: v.upstreams.NamedAges(now),
 	}
 	switch {
 	case v.departed.Load() != 0:
@@ -99,9 +97,15 @@
 	for id, l := range m.Loads {
 		loads[id] = roster.Load{Requests: l[0], WaitingTokens: l[1], Tokens: l[2]}
 	}
-	v.upstreams.PeerNews(now, m.Name, loads, m.Sent)
+	v.upstreams.PeerNews(now, m.Name, roster.News{Loads: loads, Sent: m.Sent, Avoided: m.Avoided})
 	for _, id := range m.Loading {
-		v.upstreams.SetLoading(now, id)
+		v.upstreams.Announce(now, id)
+	}
+	for _, c := range m.Changing {
+		// In a large fleet the VM that changes engines is heard now and then only.
+		at := now.Add(-milliseconds(int(c.AgeMS)))
+		v.upstreams.Announce(at, c.ID)
+		v.rollout.Progress(at, c.ID)
 	}
 	for _, u := range m.Updated {
 		v.upstreams.SawVersion(now, u.ID, u.Born, u.Version)
@@ -111,7 +115,7 @@
 		v.suspects.BrokeOff(now, s.Fingerprint, s.Incarnation)
 	}
 	if m.Leading > 0 {
-		v.rollout.Progress(now, m.Loading)
+		v.rollout.Progress(now, m.Loading...)
 		v.mu.Lock()
 		if m.Leading > v.leaderFence {
 			v.leader, v.leaderFence = m.Name, m.Leading
@@ -286,7 +290,7 @@
 		wait.For(ctx, expireEvery)
 		now := v.opts.Now()
 		v.changed(now, v.upstreams.Expire(now))
-		v.upstreams.SetNearOnly(len(v.beacon.Alive(now))+1 > allWatch)
+		v.upstreams.SetFleet(len(v.beacon.Alive(now)) + 1)
 		if !v.healthy() {
 			v.upstreams.Disturbed(now)
 		}
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -24,7 +24,7 @@
 	Load      map[string]roster.Load `json:"load"`
 	Avoided   []string               `json:"avoided"`
 	Loading   []string               `json:"loading"`
-	Peers     []beacon.Peer          `json:"peers"`
+	Peers     []*beacon.Peer         `json:"peers"`
 	Fence     uint64                 `json:"fence"`
 	Leading   bool                   `json:"leading"`
 }
--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	peers := v.beacon.Alive(now)
-	if len(peers)+1 <= allWatch {
+	if len(peers)+1 <= roster.SparseFleet {
 		return true
 	}
 	before, watching := 0, 0
@@ -36,30 +36,15 @@
 	return before < fleetWatchers || watching == 0
 }
 
-// followShare returns the share of VMs that follow an engine's events, so that
-// each engine has a few followers: all VMs in a small fleet, some of its own
-// data centre in a larger one. A store of kept prompts belongs to all.
+// followShare returns the share of VMs that follow an engine's events: all in a
+// small fleet. In a sparse one prompts go by agreement, and only the store of
+// kept prompts is followed.
 func (v *VM) followShare(u roster.Upstream) float64 {
-	if v.opts.Now().Sub(v.started) < meetPeriod {
+	if u.Model != "" && v.upstreams.Sparse() || v.opts.Now().Sub(v.started) < meetPeriod {
 		return 0
 	}
-	peers := v.beacon.Alive(v.opts.Now())
-	if len(peers) < maxFollowers {
-		return 1
-	}
-	if u.Model == "" {
-		return maxFollowers / float64(len(peers)+1)
-	}
-	if u.DataCentre != v.settings.DataCentre {
-		return 0
-	}
-	local := 1
-	for _, p := range peers {
-		if p.DataCentre == v.settings.DataCentre {
-			local++
-		}
-	}
-	return maxLocalFollowers / float64(local)
+	vms := len(v.beacon.Alive(v.opts.Now())) + 1
+	return min(1, maxFollowers/float64(vms))
 }
 
 // healthy reports whether this VM's calls to the store work.
@@ -70,7 +55,7 @@
 // upstreamRest is how long a watcher lets changes of upstreams gather. In a
 // large fleet many change at once, and each answer of a watch costs a call.
 func (v *VM) upstreamRest() time.Duration {
-	if len(v.beacon.Alive(v.opts.Now()))+1 <= allWatch {
+	if len(v.beacon.Alive(v.opts.Now()))+1 <= roster.SparseFleet {
 		return 0
 	}
 	return gatherPeriod
--- a/internal/rollout/change.go
+++ b/internal/rollout/change.go
@@ -20,7 +20,7 @@
 		if _, may := r.opts.Keeper.May(now); !may {
 			return errNotHeld
 		}
-		r.opts.Upstreams.SetLoading(now, u.ID)
+		r.opts.Upstreams.Announce(now, u.ID)
 		age := now.Sub(start)
 		if r.closing.Load() && r.enter() {
 			// What is free of work, or soon will be, changes while the next VM
@@ -100,7 +100,7 @@
 			return nil
 		}
 		now := r.opts.Clock.Now()
-		r.opts.Upstreams.SetLoading(now, u.ID)
+		r.opts.Upstreams.Announce(now, u.ID)
 		inDoubt := !given.IsZero() && report.Orders == at && now.Sub(given) < doubtPeriod
 		if report.Busy || inDoubt {
 			if !wait.For(ctx, reportEvery) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -94,6 +94,8 @@
 	othersMemory = time.Minute
 	// lastOrders is how long the last orders of a VM that stops may take.
 	lastOrders = 150 * time.Millisecond
+	// lookEvery is short against the term of a lease that may have lapsed.
+	lookEvery = 180 * time.Millisecond
 	// leasePause is the mean time between two tries to have the lease.
 	leasePause  = 250 * time.Millisecond
 	callTimeout = 500 * time.Millisecond
@@ -139,13 +141,17 @@
 	return &Rollout{opts: opts, changing: make(map[string]bool), failed: make(map[string]time.Time), others: make(map[string]time.Time)}
 }
 
-// Progress notes that another VM is at work, and on which engines.
-func (r *Rollout) Progress(now time.Time, engines []string) {
+// Progress notes that another VM was at work at a time, and on which engines.
+func (r *Rollout) Progress(at time.Time, engines ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.progress = now
+	if at.After(r.progress) {
+		r.progress = at
+	}
 	for _, id := range engines {
-		r.others[id] = now
+		if !r.changing[id] && at.After(r.others[id]) {
+			r.others[id] = at
+		}
 	}
 }
 
@@ -211,6 +217,11 @@
 		r.retryAt = r.opts.Clock.Now().Add(leasePause/2 + rand.N(leasePause))
 		return
 	}
+	if !r.opts.Keeper.Holds(now) {
+		// Another VM has it. Each look costs a call to the store.
+		r.retryAt = now.Add(lookEvery)
+		return
+	}
 	if _, may := r.opts.Keeper.May(r.opts.Clock.Now()); !may {
 		return
 	}
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -32,9 +32,11 @@
 	defer t.mu.Unlock()
 	if m := t.members[u.ID]; m != nil {
 		m.own = m.own.plus(load)
-		m.kept.use(now, shared, own, t.caches[u.Service])
+		if !t.sparse {
+			m.kept.use(now, shared, own, t.caches[u.Service])
+		}
 	}
-	if len(shared) > 0 && len(t.sent) < maxSent {
+	if !t.sparse && len(shared) > 0 && len(t.sent) < maxSent {
 		t.sent = append(t.sent, Sent{u.ID, shared, own})
 	}
 	return &Stay{table: t, id: u.ID, load: load, upstream: u}
@@ -85,17 +87,14 @@
 }
 
 // PeerNews takes what a peer has on the upstreams and what it has sent there.
-func (t *Table) PeerNews(now time.Time, peer string, loads map[string]Load, sent []Sent) {
+func (t *Table) PeerNews(now time.Time, peer string, news News) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, m := range t.members {
-		if load, found := loads[id]; found {
-			m.peers[peer] = peerLoad{load, now}
-			continue
-		}
-		delete(m.peers, peer)
+	t.peers.take(now, peer, news)
+	if t.sparse {
+		return
 	}
-	for _, s := range sent {
+	for _, s := range news.Sent {
 		if m := t.members[s.Upstream]; m != nil {
 			m.kept.use(now, s.Parts, s.Own, t.caches[m.upstream.Service])
 		}
@@ -103,15 +102,7 @@
 }
 
 // total is what this VM and its peers have on the upstream.
-func (m *member) total(now time.Time) Load {
-	sum := m.own
-	for _, p := range m.peers {
-		if now.Sub(p.at) < peerLoadLifetime {
-			sum = sum.plus(p.load)
-		}
-	}
-	return sum
-}
+func (t *Table) total(m *member) Load { return m.own.plus(t.peers.load(m.upstream.ID)) }
 
 // keptParts estimates which parts an upstream keeps: those used last, up to
 // its memory. What requests have for themselves alone takes room as well.
@@ -201,9 +192,10 @@
 func (t *Table) TotalLoad(now time.Time) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.peers.expire(now)
 	loads := make(map[string]Load, len(t.members))
 	for id, m := range t.members {
-		loads[id] = m.total(now)
+		loads[id] = t.total(m)
 	}
 	return loads
 }
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -9,24 +9,41 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Rule says what decides where a prompt goes.
+type Rule string
+
+// The rules. The last two are for comparison.
+const (
+	// ByPrompt weighs what is kept of the prompt, waiting work and distance.
+	ByPrompt Rule = ""
+	// ByLoad takes the engine with the fewest requests.
+	ByLoad Rule = "load"
+	// ByHash takes the home of the innermost shared part, full or not.
+	ByHash Rule = "hash"
+)
+
+// Known reports whether the rule is one of those above.
+func (r Rule) Known() bool { return r == ByPrompt || r == ByLoad || r == ByHash }
+
 // Policy weighs the upstreams of a service. Costs are in milliseconds until
 // the first token. The zero value stands for the defaults.
 type Policy struct {
+	Rule Rule `json:"rule"`
 	// ReadTokensPerMS is how fast an engine reads a prompt.
-	ReadTokensPerMS float64
+	ReadTokensPerMS float64 `json:"read_tokens_per_ms"`
 	// SharedWeight multiplies the cost of reading shared parts anew, which
 	// others pay for as well.
-	SharedWeight float64
+	SharedWeight float64 `json:"shared_weight"`
 	// FetchMS is the cost of fetching kept memory from another engine.
-	FetchMS float64
+	FetchMS float64 `json:"fetch_ms"`
 	// DistanceMS is added for an upstream in another data centre.
-	DistanceMS float64
+	DistanceMS float64 `json:"distance_ms"`
 	// RunningMS is added for each request that runs there.
-	RunningMS float64
+	RunningMS float64 `json:"running_ms"`
 	// OutdatedMS is added for an engine with older weights than named.
-	OutdatedMS float64
+	OutdatedMS float64 `json:"outdated_ms"`
 	// PlainMS is added for each request on a plain service.
-	PlainMS float64
+	PlainMS float64 `json:"plain_ms"`
 }
 
 func (p Policy) withDefaults() Policy {
@@ -108,64 +125,94 @@
 	if len(list) == 0 {
 		return Choice{}, false
 	}
+	t.peers.expire(now)
+	if t.sparse && len(q.Parts) > 0 && t.opts.Policy.Rule == ByPrompt {
+		return t.pickAgreed(now, list, q), true
+	}
 	home := t.home(list, q)
 	sources := t.sources(now, list, q.Parts)
 	best := Choice{}
 	for _, m := range list {
-		c := t.cost(now, m, q, m == home, sources)
-		if best.Candidates == 0 || c.CostMS < best.CostMS ||
-			c.CostMS == best.CostMS && strings.Compare(c.Upstream.ID, best.Upstream.ID) < 0 {
-			best = c
-			best.Candidates = len(list)
-		}
+		best = best.or(t.cost(now, m, q, m == home, sources))
 	}
+	best.Candidates = len(list)
 	return best, true
 }
 
+// or returns the better one of two choices.
+func (c Choice) or(d Choice) Choice {
+	if c.Upstream.ID == "" || d.CostMS < c.CostMS || d.CostMS == c.CostMS && strings.Compare(d.Upstream.ID, c.Upstream.ID) < 0 {
+		return d
+	}
+	return c
+}
+
 // home returns the upstream that the prompt's innermost shared part belongs to
 // by rendezvous hashing, so that VMs that know nothing agree.
 func (t *Table) home(list []*member, q Query) *member {
 	if len(q.Parts) == 0 {
 		return nil
 	}
-	key := q.Parts[len(q.Parts)-1].ID
+	key := promptKey(q)
 	return slices.MaxFunc(list, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), strings.Compare(a.upstream.ID, b.upstream.ID))
+		return cmp.Or(cmp.Compare(a.rank(key), b.rank(key)), strings.Compare(a.upstream.ID, b.upstream.ID))
 	})
 }
 
-func rank(key string, m *member) uint64 { return xxhash.Sum64String(key + "/" + m.upstream.ID) }
+// promptKey is the hash by which a prompt finds its home.
+func promptKey(q Query) uint64 { return xxhash.Sum64String(q.Parts[len(q.Parts)-1].ID) }
+
+// rank mixes two hashes; the steps are those of the finalizer of splitmix64.
+func (m *member) rank(key uint64) uint64 {
+	x := key ^ m.seed
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
 
 func (t *Table) cost(now time.Time, m *member, q Query, home bool, sources map[int64]source) Choice {
-	p := t.opts.Policy
-	u := m.upstream
-	load := m.total(now)
-	c := Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true}
-	if u.DataCentre != t.opts.DataCentre {
-		c.CostMS += t.distanceX * p.DistanceMS
-	}
+	load := t.total(m)
+	c, faults := t.base(now, m, load)
 	if q.Model != "" {
-		c.CostMS += t.engineCost(now, &c, m, load, q, home, sources[u.Version])
+		c.CostMS += t.engineCost(now, &c, m, load, q, home, sources[m.upstream.Version])
 	} else {
-		c.CostMS += p.PlainMS * float64(load.Requests)
+		c.CostMS += t.opts.Policy.PlainMS * float64(load.Requests)
+	}
+	c.CostMS += faults
+	return c
+}
+
+// base returns a choice with what does not depend on the prompt, and the cost
+// of the upstream's faults.
+func (t *Table) base(now time.Time, m *member, load Load) (c Choice, faultsMS float64) {
+	u := m.upstream
+	c = Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true}
+	if u.DataCentre != t.opts.DataCentre {
+		c.CostMS += t.opts.Policy.DistanceMS
 	}
 	if c.Places <= 0 {
-		c.CostMS += fullMS * (1 - float64(c.Places)/float64(max(1, u.Slots)))
+		faultsMS += fullMS * (1 - float64(c.Places)/float64(max(1, u.Slots)))
 	}
 	for _, fault := range []struct {
 		is   bool
 		cost float64
 	}{
 		{!m.lapsed.IsZero(), lapsedMS},
-		{m.avoid.After(now), avoidedMS},
+		{t.avoids(now, m), avoidedMS},
 		{m.isLoading(now), loadingMS},
 	} {
 		if fault.is {
-			c.CostMS += fault.cost
+			faultsMS += fault.cost
 			c.Fit = false
 		}
 	}
-	return c
+	return c, faultsMS
+}
+
+// avoids reports whether the upstream could not be reached lately, by this VM
+// or by several peers.
+func (t *Table) avoids(now time.Time, m *member) bool {
+	return m.avoid.After(now) || t.peers.avoided[m.upstream.ID] >= witnesses && !within(now, m.heard, newsLifetime)
 }
 
 // engineCost estimates when the first token comes: what waits there is read
@@ -191,11 +238,26 @@
 	}
 	c.MissingTokens = int(missing) + q.OwnTokens
 	c.WaitMS = (float64(load.WaitingTokens) + missing + float64(q.OwnTokens)) / p.ReadTokensPerMS
+	switch p.Rule {
+	case ByLoad:
+		return p.RunningMS * float64(load.Requests)
+	case ByHash:
+		if home {
+			return 0
+		}
+		return fullMS
+	}
 	cost := fetch + (float64(load.WaitingTokens)+p.SharedWeight*missing+float64(q.OwnTokens))/p.ReadTokensPerMS
-	cost += p.RunningMS * float64(load.Requests)
+	return cost + t.crowdCost(now, c, m, load, q, shared)
+}
+
+// crowdCost is the cost of what runs at the engine, of its weights and of its memory.
+func (t *Table) crowdCost(now time.Time, c *Choice, m *member, load Load, q Query, shared int) float64 {
+	p := t.opts.Policy
+	cost := p.RunningMS * float64(load.Requests)
 	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
 		cost += p.OutdatedMS
-		if now.Sub(named.since) > t.opts.VersionLimits.Span {
+		if limit := t.opts.VersionLimits.Span; limit > 0 && now.Sub(named.since) > limit {
 			cost += expiredMS
 		}
 	}
@@ -233,16 +295,32 @@
 			known = t.storeSource(now, version, parts)
 			best[version] = known
 		}
-		if m.avoid.After(now) || m.isLoading(now) || !m.lapsed.IsZero() {
+		if t.avoids(now, m) || m.isLoading(now) || !m.lapsed.IsZero() {
 			continue
 		}
-		if tokens := m.kept.ready(now, parts); tokens > 0 && tokens >= known.tokens {
-			best[version] = source{m, m.upstream, tokens}
+		if s := (source{m, m.upstream, m.kept.ready(now, parts)}); s.tokens > 0 && t.better(s, known) {
+			best[version] = s
 		}
 	}
 	return best
 }
 
+// better reports whether a source has more than another one, or as much and
+// less else to do.
+func (t *Table) better(s, than source) bool {
+	if s.tokens != than.tokens || than.member == nil {
+		return s.tokens >= than.tokens
+	}
+	near := func(s source) int {
+		if s.upstream.DataCentre == t.opts.DataCentre {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(near(s), near(than)), cmp.Compare(than.member.own.Requests, s.member.own.Requests),
+		strings.Compare(than.upstream.ID, s.upstream.ID)) > 0
+}
+
 func (t *Table) storeSource(now time.Time, version int64, parts []Part) source {
 	if t.store == nil || !t.store.up {
 		return source{}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Part is a run of a prompt's tokens that requests share.
@@ -59,11 +61,13 @@
 	return Load{l.Requests + m.Requests, l.WaitingTokens + m.WaitingTokens, l.Tokens + m.Tokens}
 }
 
+func (l Load) minus(m Load) Load {
+	return Load{l.Requests - m.Requests, l.WaitingTokens - m.WaitingTokens, l.Tokens - m.Tokens}
+}
+
 const (
-	// peerLoadLifetime is how long a peer's word on its requests counts.
-	peerLoadLifetime = time.Second
-	avoidLeast       = 700 * time.Millisecond
-	avoidMost        = 5 * time.Second
+	avoidLeast = 700 * time.Millisecond
+	avoidMost  = 5 * time.Second
 	// lapseHold is how long an upstream whose entry went during an outage of the
 	// store stays a last resort. Entries of live ones are back within 2 s.
 	lapseHold = 1800 * time.Millisecond
@@ -74,24 +78,26 @@
 
 type member struct {
 	upstream Upstream
-	own      Load
-	peers    map[string]peerLoad
-	kept     *keptParts
+	// seed is the hash of the ID, for ranks.
+	seed uint64
+	own  Load
+	kept *keptParts
 	// avoid is until when the upstream is passed over, after a failed connection.
 	avoid    time.Time
 	failures int
 	// lapsed is when the entry was lost during an outage of the store.
 	lapsed  time.Time
 	loading time.Time
+	// announced is when the VM that changes the engine last said so.
+	announced time.Time
 	// heard is when the upstream last said anything.
 	heard time.Time
 	// updated is when new weights were seen.
 	updated time.Time
 }
 
-type peerLoad struct {
-	load Load
-	at   time.Time
+func newMember(u Upstream) *member {
+	return &member{upstream: u, seed: xxhash.Sum64String(u.ID), kept: newKeptParts()}
 }
 
 // Options sets up a Table. The zero value works.
@@ -117,8 +123,10 @@
 	caches map[string]int
 	sent   []Sent
 	store  *store
-	// distanceX multiplies the cost of distance.
-	distanceX float64
+	// peers is what peers have said lately.
+	peers peerNews
+	// sparse says that the fleet is too large for each VM to know what all others do.
+	sparse bool
 	// disturbed is when the platform was seen to be disturbed.
 	disturbed disturbances
 }
@@ -127,11 +135,11 @@
 func New(opts Options) *Table {
 	opts.Policy = opts.Policy.withDefaults()
 	return &Table{
-		opts:      opts,
-		members:   make(map[string]*member),
-		named:     make(map[string]namedVersion),
-		caches:    make(map[string]int),
-		distanceX: 1,
+		opts:    opts,
+		members: make(map[string]*member),
+		named:   make(map[string]namedVersion),
+		caches:  make(map[string]int),
+		peers:   newPeerNews(),
 	}
 }
 
@@ -142,18 +150,23 @@
 	t.caches[service] = tokens
 }
 
-// farX makes distance dear where the requests of far VMs are hardly known.
-const farX = 6
+// SparseFleet is the size of a fleet over which a VM no longer hears from all
+// others several times a second.
+const SparseFleet = 12
 
-// SetNearOnly says whether the loads of upstreams in other data centres are
-// known only now and then, so that they are to be used when near ones are full.
-func (t *Table) SetNearOnly(near bool) {
+// SetFleet tells how many VMs there are.
+func (t *Table) SetFleet(vms int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.distanceX = 1
-	if near {
-		t.distanceX = farX
-	}
+	t.sparse = vms > SparseFleet
+	t.peers.fleet = vms
+}
+
+// Sparse reports whether the fleet is so large that prompts go by agreement.
+func (t *Table) Sparse() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sparse
 }
 
 // Disturbed says that the platform's store does not answer.
@@ -220,7 +233,7 @@
 func (t *Table) put(changes []Change, u Upstream) []Change {
 	m := t.members[u.ID]
 	if m == nil {
-		t.members[u.ID] = &member{upstream: u, peers: make(map[string]peerLoad), kept: newKeptParts()}
+		t.members[u.ID] = newMember(u)
 		return append(changes, Change{Upstream: u, What: Added})
 	}
 	old := m.upstream
@@ -231,14 +244,16 @@
 	m.upstream = u
 	switch {
 	case old.Born != u.Born || old.Address != u.Address:
-		*m = member{upstream: u, peers: make(map[string]peerLoad), kept: newKeptParts(), own: m.own}
+		own := m.own
+		*m = *newMember(u)
+		m.own = own
 		return append(changes, Change{Upstream: u, What: Restarted, Ended: old.Incarnation()})
 	case old.Version > u.Version:
 		// What an answer or a report said of the weights is newer than the list.
 		m.upstream.Version = old.Version
 	case old.Version != u.Version:
 		m.kept = newKeptParts()
-		m.loading = time.Time{}
+		m.loaded()
 	}
 	return append(changes, Change{Upstream: u, What: Changed})
 }
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -134,7 +134,7 @@
 	}
 	m.upstream.Version = version
 	m.kept = newKeptParts()
-	m.loading = time.Time{}
+	m.loaded()
 	m.updated = now
 }
 
@@ -162,7 +162,7 @@
 	return list
 }
 
-// SetLoading says that an engine is about to change its weights.
+// SetLoading says that an engine seems to change its weights.
 func (t *Table) SetLoading(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -171,6 +171,41 @@
 	}
 }
 
+// announceStep is over the time that a relayed word is on its way, so that VMs
+// which tell one another don't keep it young.
+const announceStep = 100 * time.Millisecond
+
+// Announcement says that an engine is being changed, and how long ago the VM
+// that does so said it.
+type Announcement struct {
+	ID    string `json:"id"`
+	AgeMS int64  `json:"age_ms"`
+}
+
+// Announce takes the word of the VM that changes an engine, given at a time. It
+// counts for nothing if the engine has been seen with new weights since.
+func (t *Table) Announce(at time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil && at.Sub(m.announced) > announceStep && at.After(m.updated) {
+		m.announced = at
+	}
+}
+
+// Announced returns the engines that are being changed, for peers that have not
+// heard it from the VM that does so.
+func (t *Table) Announced(now time.Time) []Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Announcement
+	for id, m := range t.members {
+		if within(now, m.announced, loadingHold) {
+			list = append(list, Announcement{id, now.Sub(m.announced).Milliseconds()})
+		}
+	}
+	return list
+}
+
 // Loading returns the engines that are changing their weights.
 func (t *Table) Loading(now time.Time) []string {
 	t.mu.Lock()
@@ -185,5 +220,10 @@
 }
 
 func (m *member) isLoading(now time.Time) bool {
-	return !m.loading.IsZero() && now.Sub(m.loading) < loadingHold
+	return within(now, m.loading, loadingHold) || within(now, m.announced, loadingHold)
 }
+
+// loaded says that the engine has new weights.
+func (m *member) loaded() { m.loading, m.announced = time.Time{}, time.Time{} }
+
+func within(now, at time.Time, d time.Duration) bool { return !at.IsZero() && now.Sub(at) < d }
--- a/internal/roster/versions_test.go
+++ b/internal/roster/versions_test.go
@@ -56,3 +56,32 @@
 		})
 	}
 }
+
+// TestLoadingIsRelayed: in a large fleet few VMs hear from the one that changes
+// engines. What peers pass on keeps requests away as well, but neither after the
+// engine has its new weights nor for longer than the word holds.
+func TestLoadingIsRelayed(t *testing.T) {
+	tests := map[string]struct {
+		heard  func(*roster.Table)
+		avoids bool
+	}{
+		"heard late":     {func(tb *roster.Table) { tb.Announce(start.Add(-600*time.Millisecond), "e00") }, true},
+		"heard too late": {func(tb *roster.Table) { tb.Announce(start.Add(-900*time.Millisecond), "e00") }, false},
+		"updated since": {func(tb *roster.Table) {
+			tb.SawVersion(start.Add(-100*time.Millisecond), "e00", 1, 2)
+			tb.Announce(start.Add(-600*time.Millisecond), "e00")
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := table(engine("e00", 1))
+			test.heard(tb)
+			if diff := cmp.Diff(test.avoids, !pick(t, tb, start, query()).Fit); diff != "" {
+				t.Errorf("the engine is avoided (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.avoids, len(tb.Announced(start)) == 1); diff != "" {
+				t.Errorf("told on (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
