--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -32,12 +32,12 @@
 	maxAddresses = 64
 	// fleetWatchers is how many VMs watch the store in a sparse fleet; in a
 	// smaller one all do.
-	fleetWatchers = 6
+	fleetWatchers = 4
 	// maxFollowers is how many VMs follow an engine or a store of kept prompts,
 	// which turn more than 8 to 12 away.
 	maxFollowers = 10
 	// gatherPeriod is short against the bounds for leaving upstreams.
-	gatherPeriod = 300 * time.Millisecond
+	gatherPeriod = 400 * time.Millisecond
 	// meetPeriod is how long a VM that starts waits for its peers' beacons before
 	// it judges the size of the fleet.
 	meetPeriod = 1500 * time.Millisecond
@@ -290,7 +290,9 @@
 		wait.For(ctx, expireEvery)
 		now := v.opts.Now()
 		v.changed(now, v.upstreams.Expire(now))
-		v.upstreams.SetFleet(len(v.beacon.Alive(now)) + 1)
+		// Those that were lost lately count: a VM that is cut off is still one of a
+		// large fleet.
+		v.upstreams.SetFleet(v.beacon.Known())
 		if !v.healthy() {
 			v.upstreams.Disturbed(now)
 		}
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -66,7 +66,7 @@
 		case item.Deleted:
 			v.changed(now, v.upstreams.Remove(now, item.Name, lapse))
 		case v.usable(item):
-			v.changed(now, v.upstreams.Put(item.Value))
+			v.changed(now, v.upstreams.Put(now, item.Value))
 		default:
 			// An entry that names no upstream takes none away by itself.
 		}
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -1,15 +1,18 @@
 package entryvm
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 // Dump is the state of a VM, for operators.
@@ -59,3 +62,22 @@
 		}
 	})
 }
+
+// summaryEvery is how often the counters are written to the log.
+const summaryEvery = 10 * time.Second
+
+// summarise writes what the counters have grown by, so that logs alone tell
+// what the VM did.
+func (v *VM) summarise(ctx context.Context) {
+	last := make(map[string]int64)
+	for wait.For(ctx, summaryEvery) {
+		grown := zerolog.Dict()
+		v.metrics.Each(func(name string, m any) {
+			if c, counts := m.(metrics.Counter); counts && c.Count() > last[name] {
+				grown.Int64(name, c.Count()-last[name])
+				last[name] = c.Count()
+			}
+		})
+		v.log.Info().Int64("active", v.active.Load()).Int("vms", v.beacon.Known()).Dict("grown", grown).Msg("summary")
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -114,13 +114,13 @@
 		log:           opts.Log.With().Str("vm", s.Name).Logger(),
 		incarnation:   opts.Now().UnixMilli(),
 		started:       opts.Now(),
-		store:         platform.NewStore(s.StoreAddress),
 		configuration: &routing.Holder{},
 		suspects:      ingress.NewSuspects(),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: snapshotTimeout},
 		fetching:      make(map[string]bool),
 	}
+	v.store = platform.NewStore(s.StoreAddress, v.metrics)
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	limits := roster.VersionLimits{Span: milliseconds(s.VersionMS) - versionMargin, Total: milliseconds(s.VersionTotalMS) - versionMargin}
@@ -274,7 +274,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.cachemap.Run, v.enter, v.keepUp, v.recallVersions,
+		v.configurations.Run, v.upstreamFeed.Run, v.versions.Run, v.beacon.Run, v.rollout.Run, v.cachemap.Run, v.enter, v.keepUp, v.recallVersions, v.summarise,
 	} {
 		wg.Go(func() { duty(duties) })
 	}
--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -9,9 +9,9 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
-// watches reports whether this VM watches the store: all do in a small fleet,
-// the first few by rendezvous hashing in a larger one, and those that hear of
-// none that does.
+// watches reports whether this VM watches the store: all do in a small fleet.
+// In a larger one a VM does unless enough others do that come before it by
+// rendezvous hashing, or if it has heard of none lately.
 func (v *VM) watches(now time.Time) bool {
 	if now.Sub(v.started) < meetPeriod {
 		return false
@@ -20,20 +20,20 @@
 	if len(peers)+1 <= roster.SparseFleet {
 		return true
 	}
-	before, watching := 0, 0
+	before, lately := 0, 0
 	own := xxhash.Sum64String("watch/" + v.settings.Name)
 	for _, p := range peers {
-		if p.State == beacon.Leaving {
-			continue
+		if !p.Watching || p.State == beacon.Leaving {
+			continue // also one whose calls to the store fail
 		}
 		if xxhash.Sum64String("watch/"+p.Name) < own {
 			before++
 		}
-		if p.Watching && now.Sub(p.Heard) < watcherSilence {
-			watching++
+		if now.Sub(p.Heard) < watcherSilence {
+			lately++
 		}
 	}
-	return before < fleetWatchers || watching == 0
+	return before < fleetWatchers || lately == 0
 }
 
 // followShare returns the share of VMs that follow an engine's events: all in a
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -185,7 +185,7 @@
 		if !a.begun {
 			a.begin(answer)
 		}
-		a.stay.First()
+		a.stay.First(a.h.opts.Now(), a.choice.WaitMS)
 		a.h.opts.Upstreams.Reached(a.h.opts.Now(), a.upstream.ID)
 		if _, err := a.w.Write(event.raw); err != nil {
 			return a.unread(err)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -214,12 +214,12 @@
 	if !j.service.Engine || j.runs+j.rejected+j.unsent > 0 || j.begun {
 		return nil
 	}
-	wait := time.Duration(c.WaitMS * float64(time.Millisecond))
+	wait := time.Duration(c.FirstMS * float64(time.Millisecond))
 	limit := time.Duration(admitTargets * float64(j.route.TargetLatency))
 	if limit <= 0 || wait <= limit {
 		return nil
 	}
-	j.line(now).Float64("wait_ms", c.WaitMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
+	j.line(now).Float64("first_ms", c.FirstMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
 	back := wait - limit/2
 	if j.request.Patience > 0 {
 		back = min(back, j.request.Patience/returnShare)
@@ -267,7 +267,7 @@
 	defer stay.End()
 	a := attempt{job: j, upstream: u, choice: choice, stay: stay, cancel: cancel}
 	j.line(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
-		Int("places", choice.Places).Int("candidates", choice.Candidates).Bool("fit", choice.Fit).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Msg("request sent")
+		Int("places", choice.Places).Int("candidates", choice.Candidates).Bool("fit", choice.Fit).Bool("home", choice.Home).Float64("first_ms", choice.FirstMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Msg("request sent")
 	return a.run(ctx, conn)
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -103,10 +104,10 @@
 	doubtPeriod = 900 * time.Millisecond
 	// changeTimeout bounds one engine's change.
 	changeTimeout = 12 * time.Second
-	// loadsShare is one in how many engines may load at once; more of them slow
-	// one another down. As many more are made free of work beforehand.
-	loadsShare = 6
-	leastLoads = 2
+	// loadsShare is the part of the engines that may load at once; more of them
+	// slow one another down. Half as many more are made free of work beforehand.
+	loadsShare = 0.22
+	leastLoads = 3
 	// freePeriod is how long an engine is given to become free of work before
 	// its order, which then waits for the rest.
 	freePeriod = 2500 * time.Millisecond
@@ -301,5 +302,5 @@
 
 // loads is how many of the engines may load at once.
 func (r *Rollout) loads(engines int) int {
-	return max(leastLoads, (engines+loadsShare-1)/loadsShare) + 1
+	return max(leastLoads, int(math.Ceil(loadsShare*float64(engines))))
 }
--- a/internal/roster/agreed.go
+++ b/internal/roster/agreed.go
@@ -8,8 +8,10 @@
 
 // In a sparse fleet no VM knows what the others have sent where, and the
 // engines' memory is too small for a copy of each prompt in every data centre.
-// So all VMs agree on where a prompt lies: each has a home by rendezvous
-// hashing, and a few engines to go to when the home is busy or away.
+// So all VMs agree on where a prompt lies: it has a home by rendezvous hashing,
+// and others to go to when the home is busy. Every engine has its share of the
+// prompts, whatever its weights, so that those which are the first to get new
+// ones are not overrun by VMs that don't see one another's requests.
 
 const (
 	// homes is how many engines a prompt may go to before any other.
@@ -17,40 +19,77 @@
 	// agreedHomeShare is the part of a prompt's shared parts that its home is
 	// thought to lack: they yield to others now and then.
 	agreedHomeShare = 0.25
-	// rankMS makes VMs agree on the order of the engines beside the home.
-	rankMS = 15
+	// warmUp is how long an engine needs until it has most of its prompts, after
+	// a start or with new weights.
+	warmUp = 4 * time.Second
 	// agreedWaitMS is the wait for a first token over which any engine will do.
 	agreedWaitMS = 300
+	// crunchPace is how much slower than estimated first tokens are in a crunch.
+	crunchPace = 2
+	// rankMS makes VMs agree on the order of the engines beside the home.
+	rankMS = 15
 )
 
 // pickAgreed returns the prompt's home, or where it goes when that is busy.
 func (t *Table) pickAgreed(now time.Time, list []*member, q Query) Choice {
 	key := promptKey(q)
+	byRank := func(a, b *member) int { return cmp.Compare(b.rank(key), a.rank(key)) }
 	ranked := make([]*member, 0, homes+1)
+	sources := make(map[int64]pair)
 	for _, m := range list {
-		i, _ := slices.BinarySearchFunc(ranked, m, func(a, b *member) int { return cmp.Compare(b.rank(key), a.rank(key)) })
-		if i < homes {
+		if t.avoids(now, m) || !m.lapsed.IsZero() {
+			continue
+		}
+		// One that is about to change its weights still has what it had.
+		sources[m.upstream.Version] = sources[m.upstream.Version].with(m, byRank)
+		if m.isLoading(now) {
+			continue
+		}
+		if i, _ := slices.BinarySearchFunc(ranked, m, byRank); i < homes {
 			ranked = slices.Insert(ranked, i, m)
 			ranked = ranked[:min(homes, len(ranked))]
 		}
 	}
 	best := Choice{}
-	for i, m := range ranked {
-		best = best.or(t.agreedCost(now, m, q, i, ranked))
+	for rank, m := range ranked {
+		best = best.or(t.agreedCost(now, m, q, rank, sources[m.upstream.Version]))
 	}
-	if !best.Fit || best.Places <= 0 || best.WaitMS > agreedWaitMS {
+	// In a crunch, to go elsewhere would only be more to read for all.
+	idle := best.WaitMS > agreedWaitMS && t.pace.times() < crunchPace
+	if !best.Fit || best.Places <= 0 || idle {
 		for _, m := range list {
 			if !slices.Contains(ranked, m) {
-				best = best.or(t.agreedCost(now, m, q, homes, ranked))
+				best = best.or(t.agreedCost(now, m, q, homes, sources[m.upstream.Version]))
 			}
 		}
 	}
-	best.Candidates = len(list)
 	return best
 }
 
+// pair is the two engines of one version where a prompt most likely lies.
+type pair struct{ first, second *member }
+
+func (p pair) with(m *member, byRank func(a, b *member) int) pair {
+	switch {
+	case p.first == nil || byRank(m, p.first) < 0:
+		return pair{m, p.first}
+	case p.second == nil || byRank(m, p.second) < 0:
+		return pair{p.first, m}
+	default:
+		return p
+	}
+}
+
+// without returns the more likely one of the two that is not m, or nil.
+func (p pair) without(m *member) *member {
+	if p.first == m {
+		return p.second
+	}
+	return p.first
+}
+
 // agreedCost is the cost of an engine of a rank for the prompt, 0 for its home.
-func (t *Table) agreedCost(now time.Time, m *member, q Query, rank int, ranked []*member) Choice {
+func (t *Table) agreedCost(now time.Time, m *member, q Query, rank int, sources pair) Choice {
 	p := t.opts.Policy
 	load := t.total(m)
 	c, faults := t.base(now, m, load)
@@ -59,17 +98,29 @@
 		shared += part.Tokens
 	}
 	lacks := float64(shared)
-	if rank == 0 {
+	c.Home = rank == 0
+	if c.Home {
 		lacks *= agreedHomeShare
 	}
-	c.Source = t.agreedSource(now, m, q, ranked)
-	if t.store != nil && t.store.up && t.storeSource(now, m.upstream.Version, q.Parts).tokens < shared {
+	stored := t.storeSource(now, m.upstream.Version, q.Parts)
+	other := sources.without(m)
+	switch {
+	case stored.tokens > 0 && sources.first == m:
+		c.Source = stored.upstream
+	case other != nil:
+		c.Source = other.upstream
+	}
+	if t.store != nil && t.store.up && stored.tokens < shared {
 		c.Save = t.store.upstream.Address
 	}
 	reads := lacks
-	if c.Source.ID != "" {
+	switch {
+	case c.Home && sources.first == m:
+		// None but the home can have the prompt, and it may be new.
+		reads = max(reads, float64(shared)*(1-float64(now.Sub(m.since))/float64(warmUp)))
+	case c.Source.ID != "":
 		// What is fetched need not be read, but its copy takes the place of others.
-		reads *= agreedHomeShare
+		reads = agreedHomeShare * float64(shared)
 		c.CostMS += p.FetchMS
 	}
 	c.MissingTokens = int(reads) + q.OwnTokens
@@ -78,19 +129,3 @@
 	c.CostMS += t.crowdCost(now, &c, m, load, q, shared) + faults
 	return c
 }
-
-// agreedSource is the first of the prompt's engines beside m that has the same
-// weights, or the store where that is known to have the prompt.
-func (t *Table) agreedSource(now time.Time, m *member, q Query, ranked []*member) Upstream {
-	if m == ranked[0] {
-		if s := t.storeSource(now, m.upstream.Version, q.Parts); s.tokens > 0 {
-			return s.upstream
-		}
-	}
-	for _, r := range ranked {
-		if r != m && r.upstream.Version == m.upstream.Version && !t.avoids(now, r) && !r.isLoading(now) && r.lapsed.IsZero() {
-			return r.upstream
-		}
-	}
-	return Upstream{}
-}
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -24,6 +24,7 @@
 	first    sync.Once
 	end      sync.Once
 	upstream Upstream
+	began    time.Time
 }
 
 // Begin counts a request on an upstream, and takes its shared parts for kept there.
@@ -39,17 +40,23 @@
 	if !t.sparse && len(shared) > 0 && len(t.sent) < maxSent {
 		t.sent = append(t.sent, Sent{u.ID, shared, own})
 	}
-	return &Stay{table: t, id: u.ID, load: load, upstream: u}
+	return &Stay{table: t, id: u.ID, load: load, upstream: u, began: now}
 }
 
-// First says that the first token has come.
-func (s *Stay) First() {
-	s.first.Do(func() { s.take(Load{WaitingTokens: -s.load.WaitingTokens}) })
+// First says that the first token has come. waitMS is the wait that had been
+// estimated.
+func (s *Stay) First(now time.Time, waitMS float64) {
+	s.first.Do(func() {
+		s.take(Load{WaitingTokens: -s.load.WaitingTokens})
+		s.table.mu.Lock()
+		defer s.table.mu.Unlock()
+		s.table.pace = s.table.pace.with(now.Sub(s.began), s.table.opts.Policy.StartMS, waitMS)
+	})
 }
 
 // End says that the request has left the upstream. It may be called twice.
 func (s *Stay) End() {
-	s.First()
+	s.first.Do(func() { s.take(Load{WaitingTokens: -s.load.WaitingTokens}) })
 	s.end.Do(func() { s.take(Load{Requests: -s.load.Requests, Tokens: -s.load.Tokens}) })
 }
 
--- a/internal/roster/peers.go
+++ b/internal/roster/peers.go
@@ -16,6 +16,8 @@
 	newsLifetime = time.Second
 	// expireEvery is short against newsLifetime.
 	expireEvery = 50 * time.Millisecond
+	// mostUnheard bounds for how many VMs one that is heard stands.
+	mostUnheard = 4
 	// witnesses is how many peers must have failed to reach an upstream before
 	// this VM passes it over untried.
 	witnesses = 2
@@ -89,11 +91,10 @@
 // load is what all peers have on an upstream. In a fleet in which only some of
 // them are heard in time the others are taken to have as much.
 func (p *peerNews) load(id string) Load {
-	l, others := p.sums[id], p.fleet-1
-	if n := len(p.of); n > 0 && n < others {
-		l.Requests = l.Requests * others / n
-		l.WaitingTokens = l.WaitingTokens * others / n
-		l.Tokens = l.Tokens * others / n
+	l, n := p.sums[id], len(p.of)
+	others := min(p.fleet-1, mostUnheard*n)
+	if n == 0 || n >= others {
+		return l
 	}
-	return l
+	return Load{l.Requests * others / n, l.WaitingTokens * others / n, l.Tokens * others / n}
 }
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -44,6 +44,9 @@
 	OutdatedMS float64 `json:"outdated_ms"`
 	// PlainMS is added for each request on a plain service.
 	PlainMS float64 `json:"plain_ms"`
+	// StartMS is the time until the first token of a prompt that is kept, at an
+	// idle engine.
+	StartMS float64 `json:"start_ms"`
 }
 
 func (p Policy) withDefaults() Policy {
@@ -59,6 +62,7 @@
 	set(&p.RunningMS, 3)
 	set(&p.OutdatedMS, 100)
 	set(&p.PlainMS, 20)
+	set(&p.StartMS, 80)
 	return p
 }
 
@@ -71,6 +75,10 @@
 	loadingMS = 50_000
 )
 
+// judgedTokens is the longest prompt that is judged by its whole length. It is
+// over the usual one that no engine keeps a part of.
+const judgedTokens = 10_000
+
 // homeShare is the part of a prompt's unknown shared parts that its home is
 // thought to lack.
 const homeShare = 0.3
@@ -92,8 +100,13 @@
 	Upstream Upstream
 	// CostMS is the estimate that decided, in milliseconds.
 	CostMS float64
-	// WaitMS is the estimate of the time until the first token.
+	// WaitMS is how long it takes to read what waits there and the prompt.
 	WaitMS float64
+	// FirstMS is the estimate of the time until the first token: WaitMS, as much
+	// longer as first tokens took lately, and what passes at an idle engine. Very
+	// long prompts are judged as if they were shorter, by the queue that they
+	// meet: they would be late anywhere.
+	FirstMS float64
 	// MissingTokens are the tokens that it is thought to have to read.
 	MissingTokens int
 	// Places says how many requests fit beside those that are there.
@@ -105,6 +118,8 @@
 	Source Upstream
 	// Save is the store's address if it should get what the upstream reads anew.
 	Save string
+	// Home says that all VMs send the prompt there if they can.
+	Home bool
 	// Fit is false if the upstream is a last resort: avoided, lapsed or loading.
 	Fit bool
 }
@@ -126,17 +141,27 @@
 		return Choice{}, false
 	}
 	t.peers.expire(now)
+	best := Choice{}
 	if t.sparse && len(q.Parts) > 0 && t.opts.Policy.Rule == ByPrompt {
-		return t.pickAgreed(now, list, q), true
+		best = t.pickAgreed(now, list, q)
+	} else {
+		best = t.pickKnown(now, list, q)
 	}
+	best.Candidates = len(list)
+	tooLong := float64(max(0, best.MissingTokens-judgedTokens)) / t.opts.Policy.ReadTokensPerMS
+	best.FirstMS = t.opts.Policy.StartMS + t.pace.times()*(best.WaitMS-tooLong)
+	return best, true
+}
+
+// pickKnown weighs all upstreams by what is known of them.
+func (t *Table) pickKnown(now time.Time, list []*member, q Query) Choice {
 	home := t.home(list, q)
 	sources := t.sources(now, list, q.Parts)
 	best := Choice{}
 	for _, m := range list {
 		best = best.or(t.cost(now, m, q, m == home, sources))
 	}
-	best.Candidates = len(list)
-	return best, true
+	return best
 }
 
 // or returns the better one of two choices.
@@ -173,6 +198,7 @@
 func (t *Table) cost(now time.Time, m *member, q Query, home bool, sources map[int64]source) Choice {
 	load := t.total(m)
 	c, faults := t.base(now, m, load)
+	c.Home = home
 	if q.Model != "" {
 		c.CostMS += t.engineCost(now, &c, m, load, q, home, sources[m.upstream.Version])
 	} else {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,7 +73,7 @@
 	lapseHold = 1800 * time.Millisecond
 	// loadingHold bounds the belief that an engine is changing its weights. The
 	// VM that changes it says so again several times in this time.
-	loadingHold = 800 * time.Millisecond
+	loadingHold = time.Second
 )
 
 type member struct {
@@ -94,10 +94,12 @@
 	heard time.Time
 	// updated is when new weights were seen.
 	updated time.Time
+	// since is when this start, or these weights, were first seen.
+	since time.Time
 }
 
-func newMember(u Upstream) *member {
-	return &member{upstream: u, seed: xxhash.Sum64String(u.ID), kept: newKeptParts()}
+func newMember(now time.Time, u Upstream) *member {
+	return &member{upstream: u, since: now, seed: xxhash.Sum64String(u.ID), kept: newKeptParts()}
 }
 
 // Options sets up a Table. The zero value works.
@@ -125,6 +127,8 @@
 	store  *store
 	// peers is what peers have said lately.
 	peers peerNews
+	// pace is how first tokens compare with their estimates.
+	pace pace
 	// sparse says that the fleet is too large for each VM to know what all others do.
 	sparse bool
 	// disturbed is when the platform was seen to be disturbed.
@@ -206,7 +210,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
-		changes = t.put(changes, u)
+		changes = t.put(changes, now, u)
 	}
 	for id := range t.members {
 		if !listed[id] {
@@ -217,10 +221,10 @@
 }
 
 // Put takes one upstream's entry.
-func (t *Table) Put(u Upstream) []Change {
+func (t *Table) Put(now time.Time, u Upstream) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.put(nil, u)
+	return t.put(nil, now, u)
 }
 
 // Remove takes the end of an upstream's entry.
@@ -230,10 +234,10 @@
 	return t.drop(nil, now, id, lapse)
 }
 
-func (t *Table) put(changes []Change, u Upstream) []Change {
+func (t *Table) put(changes []Change, now time.Time, u Upstream) []Change {
 	m := t.members[u.ID]
 	if m == nil {
-		t.members[u.ID] = newMember(u)
+		t.members[u.ID] = newMember(now, u)
 		return append(changes, Change{Upstream: u, What: Added})
 	}
 	old := m.upstream
@@ -245,7 +249,7 @@
 	switch {
 	case old.Born != u.Born || old.Address != u.Address:
 		own := m.own
-		*m = *newMember(u)
+		*m = *newMember(now, u)
 		m.own = own
 		return append(changes, Change{Upstream: u, What: Restarted, Ended: old.Incarnation()})
 	case old.Version > u.Version:
@@ -253,7 +257,7 @@
 		m.upstream.Version = old.Version
 	case old.Version != u.Version:
 		m.kept = newKeptParts()
-		m.loaded()
+		m.loaded(now)
 	}
 	return append(changes, Change{Upstream: u, What: Changed})
 }
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -134,7 +134,7 @@
 	}
 	m.upstream.Version = version
 	m.kept = newKeptParts()
-	m.loaded()
+	m.loaded(now)
 	m.updated = now
 }
 
@@ -145,9 +145,9 @@
 	Version int64  `json:"version"`
 }
 
-// updatePeriod is how long new weights are told to peers, until the store's
-// list says the same.
-const updatePeriod = 2 * time.Second
+// updatePeriod is how long new weights are told to peers. The store's list says
+// the same soon after.
+const updatePeriod = 900 * time.Millisecond
 
 // Updated returns the engines that were seen to have new weights lately.
 func (t *Table) Updated(now time.Time) []Seen {
@@ -171,9 +171,14 @@
 	}
 }
 
-// announceStep is over the time that a relayed word is on its way, so that VMs
-// which tell one another don't keep it young.
-const announceStep = 100 * time.Millisecond
+const (
+	// announceStep is over the time that a relayed word is on its way, so that VMs
+	// which tell one another don't keep it young.
+	announceStep = 200 * time.Millisecond
+	// relayPeriod is how long a word is passed on: two or three beacons of each
+	// VM, which reach all.
+	relayPeriod = 450 * time.Millisecond
+)
 
 // Announcement says that an engine is being changed, and how long ago the VM
 // that does so said it.
@@ -199,7 +204,7 @@
 	defer t.mu.Unlock()
 	var list []Announcement
 	for id, m := range t.members {
-		if within(now, m.announced, loadingHold) {
+		if within(now, m.announced, relayPeriod) {
 			list = append(list, Announcement{id, now.Sub(m.announced).Milliseconds()})
 		}
 	}
@@ -224,6 +229,8 @@
 }
 
 // loaded says that the engine has new weights.
-func (m *member) loaded() { m.loading, m.announced = time.Time{}, time.Time{} }
+func (m *member) loaded(now time.Time) {
+	m.loading, m.announced, m.since = time.Time{}, time.Time{}, now
+}
 
 func within(now, at time.Time, d time.Duration) bool { return !at.IsZero() && now.Sub(at) < d }
