--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -56,9 +56,11 @@
 func deployments() []Deployment {
 	const (
 		// tokenKB is the memory of a token, by which links' rates are told in tokens.
-		tokenKB      = 35.136
-		gbitPerS     = 1e9 / 8 / 1e3 / tokenKB / 1e3 // tokens in a millisecond
-		engineLink   = 740 * gbitPerS
+		tokenKB    = 35.136
+		gbitPerS   = 1e9 / 8 / 1e3 / tokenKB / 1e3 // tokens in a millisecond
+		engineLink = 740 * gbitPerS
+		// eventTokens is how many tokens come with each event that the pages count.
+		eventTokens  = 7
 		checkTarget  = 500 * time.Millisecond
 		replyTarget  = 400 * time.Millisecond
 		longPatience = 12 * time.Second
@@ -66,13 +68,13 @@
 	check := func(name string, perS float64, subjects int, out float64) Class {
 		return Class{
 			Name: name, PerS: perS, Shared: []Level{{4, Size{2_520, 0.4}, 0}, {subjects, Size{3_780, 0.7}, 0.3}}, Own: Size{2_890, 1},
-			Out: Size{out, 1.4}, Target: checkTarget, Patience: 5 * time.Second, LateWorth: 0.3, MaxAttempts: 2, Resumable: true,
+			Out: Size{out * eventTokens, 1.4}, Target: checkTarget, Patience: 5 * time.Second, LateWorth: 0.3, MaxAttempts: 2, Resumable: true,
 		}
 	}
 	reply := func(name string, perS float64, templates, subjects int, out float64) Class {
 		return Class{
 			Name: name, PerS: perS, Shared: []Level{{templates, Size{119, 0.4}, 0}, {subjects, Size{79, 0.7}, 0.3}}, Own: Size{628, 1},
-			Out: Size{out, 0.69}, Target: replyTarget, Patience: longPatience, LateWorth: 0.3, Priority: 1, MaxAttempts: 1,
+			Out: Size{out * eventTokens, 0.69}, Target: replyTarget, Patience: longPatience, LateWorth: 0.3, Priority: 1, MaxAttempts: 1,
 		}
 	}
 	engine := func(slots, memory, loads int) enginemodel.Options {
--- a/internal/roster/agreed.go
+++ b/internal/roster/agreed.go
@@ -22,10 +22,6 @@
 	// warmUp is how long an engine needs until it has most of its prompts, after
 	// a start or with new weights.
 	warmUp = 4 * time.Second
-	// agreedWaitMS is the wait for a first token over which any engine will do.
-	agreedWaitMS = 300
-	// crunchPace is how much slower than estimated first tokens are in a crunch.
-	crunchPace = 2
 	// rankMS makes VMs agree on the order of the engines beside the home.
 	rankMS = 15
 )
@@ -54,9 +50,8 @@
 	for rank, m := range ranked {
 		best = best.or(t.agreedCost(now, m, q, rank, sources[m.upstream.Version]))
 	}
-	// In a crunch, to go elsewhere would only be more to read for all.
-	idle := best.WaitMS > agreedWaitMS && t.pace.times() < crunchPace
-	if !best.Fit || best.Places <= 0 || idle {
+	// Others would only have more to read.
+	if !best.Fit || best.Places <= 0 {
 		for _, m := range list {
 			if !slices.Contains(ranked, m) {
 				best = best.or(t.agreedCost(now, m, q, homes, sources[m.upstream.Version]))
