--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
@@ -211,7 +212,7 @@
 	serveCollection(mux, "upstreams", v.upstreamFeed)
 	serveCollection(mux, "versions", v.versions)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { writeMetrics(w, v.metrics) })
+	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
 	return mux
 }
 
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -24,6 +24,9 @@
 	ReadyListen     string `json:"ready_listen"`
 	DirectoryListen string `json:"directory_listen"`
 	ControlListen   string `json:"control_listen"`
+	// MetricsListen is where the metrics page is, beside the control address.
+	// Empty stands for nowhere.
+	MetricsListen string `json:"metrics_listen"`
 	// PeerPort is the first of the ports between VMs: datagrams come there.
 	PeerPort int `json:"peer_port"`
 	// Seeds are control addresses of VMs that may be there.
@@ -88,6 +91,9 @@
 		"callers_listen": s.CallersListen, "ready_listen": s.ReadyListen, "directory_listen": s.DirectoryListen,
 		"control_listen": s.ControlListen, "store_address": s.StoreAddress,
 	}
+	if s.MetricsListen != "" {
+		addresses["metrics_listen"] = s.MetricsListen
+	}
 	for field, address := range addresses {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			add(field, "want an IP number and a port, got %q", address)
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -14,7 +14,7 @@
 
 // sample is what the platform fills the template's places with.
 var sample = map[string]string{
-	"node|json": `"edge-a-1"`, "zone|json": `"a"`, "ip|json": `"10.1.0.30"`,
+	"node|json": `"edge-a-1"`, "zone|json": `"a"`, "ip|json": `"10.1.0.30"`, "ip": "10.1.0.30",
 	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`,
 	"listen.directory|json": `"10.1.0.30:8780"`, "listen.control|json": `"10.1.0.30:8783"`,
 	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134",
@@ -65,6 +65,7 @@
 	want.Name, want.DataCentre, want.IP = "edge-a-1", "a", "10.1.0.30"
 	want.CallersListen, want.ReadyListen = "10.1.0.30:8782", "10.1.0.30:8789"
 	want.DirectoryListen, want.ControlListen = "10.1.0.30:8780", "10.1.0.30:8783"
+	want.MetricsListen = "10.1.0.30:9464"
 	want.PeerPort, want.StoreAddress, want.MemoryMB = 7340, "10.200.1.7:8784", 134
 	want.Seeds = []string{"10.1.0.30:8783", "10.2.0.22:8783"}
 	want.RetrySlack = 58
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,25 +41,6 @@
 	return d
 }
 
-// writeMetrics writes the counters and histograms in the Prometheus text form.
-func writeMetrics(w http.ResponseWriter, registry metrics.Registry) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	registry.Each(func(name string, m any) {
-		name = "hibiscuscove_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-		switch m := m.(type) {
-		case metrics.Counter:
-			_, _ = fmt.Fprintf(w, "# TYPE %s counter\n%s %d\n", name, name, m.Count())
-		case metrics.Histogram:
-			s := m.Snapshot()
-			_, _ = fmt.Fprintf(w, "# TYPE %s summary\n", name)
-			for _, q := range []float64{0.5, 0.9, 0.99} {
-				_, _ = fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, q, s.Percentile(q))
-			}
-			_, _ = fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, s.Sum(), name, s.Count())
-		}
-	})
-}
-
 // summaryEvery is how often the counters are written to the log.
 const summaryEvery = 10 * time.Second
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -36,6 +36,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/cachemap"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -53,6 +54,8 @@
 	mebibyte    = 1 << 20
 	// garbagePercent trades memory, which the limit bounds, for processor time.
 	garbagePercent = 200
+	// sampleSize is how many values a histogram keeps.
+	sampleSize = 1028
 	// versionMargin is how long a request may wait at an engine before it begins.
 	versionMargin = 1500 * time.Millisecond
 )
@@ -192,6 +195,9 @@
 	v.rollout = rollout.New(rollout.Options{
 		Keeper: v.keeper, Engines: platform.Engines{Dialer: dialer}, Upstreams: v.upstreams,
 		Clock: clock, Holder: v.settings.Name, Turn: v.turn, Log: v.log,
+		Changed: func(took time.Duration) {
+			metrics.GetOrRegisterHistogram("engine_change_ms", v.metrics, metrics.NewUniformSample(sampleSize)).Update(took.Milliseconds())
+		},
 	})
 }
 
@@ -222,6 +228,9 @@
 		{v.settings.ControlListen, v.controlHandler()},
 	}
 	var all []transport.Server
+	if page := v.metricsServer(); page != nil {
+		all = append(all, page)
+	}
 	for i, s := range servers {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
@@ -231,14 +240,7 @@
 		if i == 0 {
 			listener = watched
 		}
-		// The endpoint is named since kratos would list the machine's links to
-		// find it, which not every platform allows.
-		endpoint := &url.URL{Scheme: "http", Host: s.address}
-		server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
-		// Paths reach the handler as callers write them, past kratos's router.
-		server.Handler = s.handler
-		server.ReadHeaderTimeout = readHeaderTimeout
-		server.IdleTimeout = idleTimeout
+		server := newServer(listener, s.address, s.handler)
 		if i == 0 {
 			server.ConnContext = watched.Context
 			server.ConnState = watched.Note
@@ -250,6 +252,36 @@
 	return nil
 }
 
+// newServer returns a server of one address.
+func newServer(listener net.Listener, address string, handler http.Handler) *khttp.Server {
+	// The endpoint is named since kratos would list the machine's links to
+	// find it, which not every platform allows.
+	endpoint := &url.URL{Scheme: "http", Host: address}
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
+	// Paths reach the handler as callers write them, past kratos's router.
+	server.Handler = handler
+	server.ReadHeaderTimeout = readHeaderTimeout
+	server.IdleTimeout = idleTimeout
+	return server
+}
+
+// metricsServer returns the server of the metrics page, or nil. Without its
+// address the VM serves all the same.
+func (v *VM) metricsServer() transport.Server {
+	address := v.settings.MetricsListen
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		v.log.Warn().Str("address", address).Err(err).Msg("no metrics page")
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
+	return newServer(listener, address, mux)
+}
+
 // noSignal is never delivered: the daemon handles signals by its context.
 type noSignal struct{}
 
--- a/internal/rollout/change.go
+++ b/internal/rollout/change.go
@@ -63,9 +63,12 @@
 func (r *Rollout) change(ctx context.Context, u roster.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
+	begun := r.opts.Clock.Now()
 	err := r.order(ctx, u)
 	now := r.opts.Clock.Now()
-	if err != nil {
+	if err == nil {
+		r.opts.Changed(now.Sub(begun))
+	} else {
 		r.opts.Log.Warn().Str("upstream", u.ID).Err(err).Msg("engine not brought up to date")
 	}
 	r.mu.Lock()
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -79,7 +79,10 @@
 	// Turn returns this VM's place in the order in which VMs try to take the
 	// lease, 0 for the first.
 	Turn func(now time.Time) int
-	Log  zerolog.Logger
+	// Changed hears how long each engine's change took, from its choice until its
+	// new weights were seen.
+	Changed func(took time.Duration)
+	Log     zerolog.Logger
 }
 
 const (
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -41,6 +41,7 @@
 	})
 	s.vm = rollout.New(rollout.Options{
 		Keeper: keeper, Engines: s.engines, Upstreams: s.table, Clock: clock, Holder: "a", Turn: func(time.Time) int { return 0 },
+		Changed: func(time.Duration) {},
 	})
 	return s
 }
