internal/kept, internal/weights: two rooms of the roster of their own

What an upstream keeps, and which versions of weights were named when, are packages with tests of their own; no behaviour changed. Watches of the store are decided by a function that a test can call.

--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -9,19 +9,23 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
-// watches reports whether this VM watches the store: all do in a small fleet.
-// In a larger one a VM does unless enough others do that come before it by
-// rendezvous hashing, or if it has heard of none lately.
+// watches reports whether this VM watches the store.
 func (v *VM) watches(now time.Time) bool {
 	if now.Sub(v.started) < meetPeriod {
 		return false
 	}
-	peers := v.beacon.Alive(now)
+	return Watches(now, v.settings.Name, v.beacon.Alive(now))
+}
+
+// Watches reports whether a VM watches the store: all do in a small fleet. In a
+// larger one a VM does unless enough others do that come before it by
+// rendezvous hashing, or if it has heard of none lately.
+func Watches(now time.Time, name string, peers []*beacon.Peer) bool {
 	if len(peers)+1 <= roster.SparseFleet {
 		return true
 	}
 	before, lately := 0, 0
-	own := xxhash.Sum64String("watch/" + v.settings.Name)
+	own := xxhash.Sum64String("watch/" + name)
 	for _, p := range peers {
 		if !p.Watching || p.State == beacon.Leaving {
 			continue // also one whose calls to the store fail
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -1,9 +1,10 @@
 package roster
 
 import (
-	"container/list"
 	"sync"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/kept"
 )
 
 // Sent says that a prompt was sent to an upstream.
@@ -34,7 +35,7 @@
 	if m := t.members[u.ID]; m != nil {
 		m.own = m.own.plus(load)
 		if !t.sparse {
-			m.kept.use(now, shared, own, t.caches[u.Service])
+			m.kept.Use(now, shared, own, t.caches[u.Service])
 		}
 	}
 	if !t.sparse && len(shared) > 0 && len(t.sent) < maxSent {
@@ -103,7 +104,7 @@
 	}
 	for _, s := range news.Sent {
 		if m := t.members[s.Upstream]; m != nil {
-			m.kept.use(now, s.Parts, s.Own, t.caches[m.upstream.Service])
+			m.kept.Use(now, s.Parts, s.Own, t.caches[m.upstream.Service])
 		}
 	}
 }
@@ -111,90 +112,6 @@
 // total is what this VM and its peers have on the upstream.
 func (t *Table) total(m *member) Load { return m.own.plus(t.peers.load(m.upstream.ID)) }
 
-// keptParts estimates which parts an upstream keeps: those used last, up to
-// its memory. What requests have for themselves alone takes room as well.
-type keptParts struct {
-	used map[string]*keptPart
-	// order has the parts by their last use, the latest at the end.
-	order  list.List
-	tokens int
-	// followed says that the engine's events tell what it drops.
-	followed bool
-}
-
-type keptPart struct {
-	id     string
-	tokens int
-	// since is when the part was first sent.
-	since time.Time
-	place *list.Element
-}
-
-// blockSlack is more than the tokens by which a whole part may fall short, since
-// engines keep whole blocks.
-const blockSlack = 64
-
-// The parts of an engine's memory that are counted on for parts: where the
-// engine's own events tell what it drops, there is no need to guess.
-const (
-	guessedShare  = 0.9
-	followedShare = 2.0
-)
-
-func newKeptParts() *keptParts { return &keptParts{used: make(map[string]*keptPart)} }
-
-func (k *keptParts) use(now time.Time, parts []Part, own, capacity int) {
-	for _, p := range parts {
-		part := k.used[p.ID]
-		if part == nil {
-			part = &keptPart{id: p.ID, tokens: p.Tokens, since: now}
-			part.place = k.order.PushBack(part)
-			k.used[p.ID] = part
-			k.tokens += p.Tokens
-		}
-		k.order.MoveToBack(part.place)
-	}
-	if own > 0 {
-		k.order.PushBack(&keptPart{tokens: own})
-		k.tokens += own
-	}
-	share := guessedShare
-	if k.followed {
-		share = followedShare
-	}
-	for float64(k.tokens) > share*float64(capacity) && k.order.Len() > 1 {
-		oldest := k.order.Remove(k.order.Front()).(*keptPart)
-		k.tokens -= oldest.tokens
-		delete(k.used, oldest.id)
-	}
-}
-
-// ready returns how many tokens of the parts, from the first on, have been
-// there long enough to be read.
-func (k *keptParts) ready(now time.Time, parts []Part) int {
-	return k.count(parts, func(kept *keptPart) bool { return now.Sub(kept.since) >= readyAfter })
-}
-
-// have returns how many tokens of the parts, from the first on, are kept.
-func (k *keptParts) have(parts []Part) int {
-	return k.count(parts, func(*keptPart) bool { return true })
-}
-
-func (k *keptParts) count(parts []Part, counts func(*keptPart) bool) int {
-	tokens := 0
-	for _, p := range parts {
-		kept := k.used[p.ID]
-		if kept == nil || !counts(kept) {
-			break
-		}
-		tokens += min(p.Tokens, kept.tokens)
-		if kept.tokens+blockSlack < p.Tokens {
-			break
-		}
-	}
-	return tokens
-}
-
 // TotalLoad returns what this VM and its peers have on each upstream.
 func (t *Table) TotalLoad(now time.Time) map[string]Load {
 	t.mu.Lock()
@@ -234,10 +151,10 @@
 	if m == nil || m.upstream.Born != born {
 		return
 	}
-	m.kept.followed = true
+	m.kept.Follow()
 	for _, p := range parts {
 		if p.Version == m.upstream.Version {
-			m.kept.set(now, p)
+			m.kept.Set(now, Part{ID: p.ID, Tokens: p.Tokens})
 		}
 	}
 }
@@ -247,24 +164,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil && m.upstream.Born == born {
-		m.kept = newKeptParts()
-	}
-}
-
-func (k *keptParts) set(now time.Time, p KeptPart) {
-	part := k.used[p.ID]
-	switch {
-	case part == nil && p.Tokens > 0:
-		part = &keptPart{id: p.ID, tokens: p.Tokens, since: now.Add(-readyAfter)}
-		part.place = k.order.PushBack(part)
-		k.used[p.ID] = part
-		k.tokens += p.Tokens
-	case part != nil && p.Tokens == 0:
-		k.order.Remove(part.place)
-		k.tokens -= part.tokens
-		delete(k.used, p.ID)
-	case part != nil:
-		k.tokens += p.Tokens - part.tokens
-		part.tokens = p.Tokens
+		m.kept = kept.New()
 	}
 }
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -129,7 +129,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*member
-	floor := t.named[q.Model].floor(now, t.disturbed, t.opts.VersionLimits)
+	floor := t.named.Floor(now, q.Model, t.disturbed, t.opts.VersionLimits)
 	for _, m := range t.members {
 		u := m.upstream
 		if u.Service != q.Service || u.Leaving || u.Version < floor || slices.Contains(q.Without, u.ID) {
@@ -249,7 +249,7 @@
 	for _, part := range q.Parts {
 		shared += part.Tokens
 	}
-	missing := float64(shared - m.kept.have(q.Parts))
+	missing := float64(shared - m.kept.Have(q.Parts))
 	fetch := 0.0
 	switch {
 	case from.member != m && from.tokens > shared-int(missing):
@@ -281,9 +281,9 @@
 func (t *Table) crowdCost(now time.Time, c *Choice, m *member, load Load, q Query, shared int) float64 {
 	p := t.opts.Policy
 	cost := p.RunningMS * float64(load.Requests)
-	if named := t.named[m.upstream.Model]; m.upstream.Version < named.version {
+	if newest, since := t.named.Newest(m.upstream.Model); m.upstream.Version < newest {
 		cost += p.OutdatedMS
-		if limit := t.opts.VersionLimits.Span; limit > 0 && now.Sub(named.since) > limit {
+		if limit := t.opts.VersionLimits.Span; limit > 0 && now.Sub(since) > limit {
 			cost += expiredMS
 		}
 	}
@@ -304,9 +304,6 @@
 	tokens   int
 }
 
-// readyAfter is how long after they were sent parts are counted on as read.
-const readyAfter = 150 * time.Millisecond
-
 // sources returns the best source of each version of the weights. The store is
 // taken where no engine has as much.
 func (t *Table) sources(now time.Time, list []*member, parts []Part) map[int64]source {
@@ -324,7 +321,7 @@
 		if t.avoids(now, m) || m.isLoading(now) || !m.lapsed.IsZero() {
 			continue
 		}
-		if s := (source{m, m.upstream, m.kept.ready(now, parts)}); s.tokens > 0 && t.better(s, known) {
+		if s := (source{m, m.upstream, m.kept.Ready(now, parts)}); s.tokens > 0 && t.better(s, known) {
 			best[version] = s
 		}
 	}
@@ -351,5 +348,5 @@
 	if t.store == nil || !t.store.up {
 		return source{}
 	}
-	return source{upstream: t.store.upstream, tokens: t.store.kept.ready(now, stored(version, parts))}
+	return source{upstream: t.store.upstream, tokens: t.store.kept.Ready(now, stored(version, parts))}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,13 +22,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/kept"
+	"github.com/hibiscuscove/hibiscuscove/internal/weights"
 )
 
 // Part is a run of a prompt's tokens that requests share.
-type Part struct {
-	ID     string
-	Tokens int
-}
+type Part = kept.Part
 
 // Upstream is one model engine or plain service.
 type Upstream struct {
@@ -81,7 +81,7 @@
 	// seed is the hash of the ID, for ranks.
 	seed uint64
 	own  Load
-	kept *keptParts
+	kept *kept.Parts
 	// avoid is until when the upstream is passed over, after a failed connection.
 	avoid    time.Time
 	failures int
@@ -101,7 +101,7 @@
 }
 
 func newMember(now time.Time, u Upstream) *member {
-	return &member{upstream: u, since: now, seed: xxhash.Sum64String(u.ID), kept: newKeptParts()}
+	return &member{upstream: u, since: now, seed: xxhash.Sum64String(u.ID), kept: kept.New()}
 }
 
 // Options sets up a Table. The zero value works.
@@ -121,8 +121,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	// named is the newest version of each model, and since when it is known.
-	named map[string]namedVersion
+	// named are the versions that operators have named.
+	named *weights.Book
 	// caches are the tokens of memory of each service's upstreams.
 	caches map[string]int
 	sent   []Sent
@@ -134,7 +134,7 @@
 	// sparse says that the fleet is too large for each VM to know what all others do.
 	sparse bool
 	// disturbed is when the platform was seen to be disturbed.
-	disturbed disturbances
+	disturbed weights.Disturbances
 }
 
 // New returns an empty Table.
@@ -143,7 +143,7 @@
 	return &Table{
 		opts:    opts,
 		members: make(map[string]*member),
-		named:   make(map[string]namedVersion),
+		named:   weights.NewBook(),
 		caches:  make(map[string]int),
 		peers:   newPeerNews(),
 	}
@@ -258,7 +258,7 @@
 		// What an answer or a report said of the weights is newer than the list.
 		m.upstream.Version = old.Version
 	case old.Version != u.Version:
-		m.kept = newKeptParts()
+		m.kept = kept.New()
 		m.loaded(now)
 	}
 	return append(changes, Change{Upstream: u, What: Changed})
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/kept"
 )
 
 // store is what is known of the store of kept prompts. Its parts outlive the
@@ -10,7 +12,7 @@
 type store struct {
 	upstream Upstream
 	capacity int
-	kept     *keptParts
+	kept     *kept.Parts
 	// up says that the store has answered lately.
 	up bool
 }
@@ -24,7 +26,7 @@
 		return
 	}
 	if t.store == nil || t.store.upstream != u {
-		t.store = &store{upstream: u, kept: newKeptParts()}
+		t.store = &store{upstream: u, kept: kept.New()}
 	}
 	t.store.capacity = tokens
 }
@@ -47,7 +49,7 @@
 		return
 	}
 	t.store.up = up
-	t.store.kept = newKeptParts()
+	t.store.kept = kept.New()
 }
 
 // SetStored takes what the store says of its parts.
@@ -58,8 +60,7 @@
 		return
 	}
 	for _, p := range parts {
-		p.ID = storedID(p.Version, p.ID)
-		t.store.kept.set(now, p)
+		t.store.kept.Set(now, Part{ID: storedID(p.Version, p.ID), Tokens: p.Tokens})
 	}
 }
 
@@ -69,7 +70,7 @@
 func stored(version int64, parts []Part) []Part {
 	named := make([]Part, len(parts))
 	for i, p := range parts {
-		named[i] = Part{storedID(version, p.ID), p.Tokens}
+		named[i] = Part{ID: storedID(version, p.ID), Tokens: p.Tokens}
 	}
 	return named
 }
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -1,118 +1,39 @@
 package roster
 
 import (
-	"cmp"
-	"slices"
 	"time"
-)
-
-type namedVersion struct {
-	version int64
-	since   time.Time
-	// assumed says that since is a guess, which no peer is told.
-	assumed bool
-	// earlier are the versions named before, oldest first.
-	earlier []namedVersion
-}
 
-// floor is the newest version that has been named for longer than the limits
-// allow, in time that was not disturbed.
-func (n namedVersion) floor(now time.Time, d disturbances, limits VersionLimits) int64 {
-	if limits.Span <= 0 {
-		return 0
-	}
-	if n.version > 0 && d.exceeded(n.since, now, limits) {
-		return n.version
-	}
-	for _, e := range slices.Backward(n.earlier) {
-		if d.exceeded(e.since, now, limits) {
-			return e.version
-		}
-	}
-	return 0
-}
-
-// maxEarlier bounds the versions remembered for each model.
-const maxEarlier = 32
+	"github.com/hibiscuscove/hibiscuscove/internal/kept"
+	"github.com/hibiscuscove/hibiscuscove/internal/weights"
+)
 
 // NamedAge is a version of a model's weights and how long ago it was named.
-type NamedAge struct {
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
-	AgeMS   int64  `json:"age_ms"`
-}
+type NamedAge = weights.Age
+
+// VersionLimits bound the use of weights after newer ones have been named.
+type VersionLimits = weights.Limits
 
 // SetNamed takes a version of a model's weights that was named at a time, and
-// reports whether it is newer than those known. Of two times the earlier holds.
+// reports whether it is newer than those known.
 func (t *Table) SetNamed(at time.Time, model string, version int64) bool {
-	return t.setNamed(model, namedVersion{version: version, since: at})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.named.Set(at, model, version)
 }
 
 // AssumeNamed takes a version that has been named for a time that this VM can
 // only guess. A peer's word on it replaces the guess.
 func (t *Table) AssumeNamed(at time.Time, model string, version int64) bool {
-	return t.setNamed(model, namedVersion{version: version, since: at, assumed: true})
-}
-
-func (t *Table) setNamed(model string, n namedVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.named[model]
-	if n.version > old.version {
-		earlier := slices.Clone(old.earlier)
-		if old.version > 0 {
-			earlier = append(earlier, namedVersion{version: old.version, since: old.since, assumed: old.assumed})
-		}
-		n.earlier = earlier[max(0, len(earlier)-maxEarlier):]
-		t.named[model] = n
-		return true
-	}
-	if n.version == old.version {
-		t.named[model] = old.corrected(n)
-		return false
-	}
-	i, known := slices.BinarySearchFunc(old.earlier, n.version, func(e namedVersion, version int64) int {
-		return cmp.Compare(e.version, version)
-	})
-	switch {
-	case known:
-		old.earlier[i] = old.earlier[i].corrected(n)
-	case n.version > 0 && len(old.earlier) < maxEarlier:
-		// A VM that has just started has listed the newest version only.
-		old.earlier = slices.Insert(old.earlier, i, n)
-		t.named[model] = old
-	}
-	return false
+	return t.named.Assume(at, model, version)
 }
 
-// corrected returns what is known after another word on the same version.
-func (n namedVersion) corrected(by namedVersion) namedVersion {
-	if !by.assumed && (n.assumed || by.since.Before(n.since)) {
-		n.since, n.assumed = by.since, false
-	}
-	return n
-}
-
-// namedTold is how many versions of a model are told to peers.
-const namedTold = 4
-
 // NamedAges returns the versions named last, with their ages.
 func (t *Table) NamedAges(now time.Time) []NamedAge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var ages []NamedAge
-	add := func(model string, n namedVersion) {
-		if !n.assumed {
-			ages = append(ages, NamedAge{model, n.version, now.Sub(n.since).Milliseconds()})
-		}
-	}
-	for model, n := range t.named {
-		add(model, n)
-		for _, e := range n.earlier[max(0, len(n.earlier)-namedTold+1):] {
-			add(model, e)
-		}
-	}
-	return ages
+	return t.named.Ages(now)
 }
 
 // Named returns the newest version of a model's weights and since when this
@@ -120,8 +41,7 @@
 func (t *Table) Named(model string) (int64, time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := t.named[model]
-	return n.version, n.since
+	return t.named.Newest(model)
 }
 
 // SawVersion takes the weights that an answer or a report of an upstream shows.
@@ -133,7 +53,7 @@
 		return
 	}
 	m.upstream.Version = version
-	m.kept = newKeptParts()
+	m.kept = kept.New()
 	m.loaded(now)
 	m.updated = now
 }
--- a/internal/roster/disturbances.go
+++ b/internal/weights/disturbances.go
@@ -1,10 +1,10 @@
-package roster
+package weights
 
 import "time"
 
-// VersionLimits bound the use of weights after newer ones have been named. The
+// Limits bound the use of weights after newer ones have been named. The
 // zero value sets no limit.
-type VersionLimits struct {
+type Limits struct {
 	// Span is the longest span without disturbance.
 	Span time.Duration
 	// Total is what such spans may add up to. Zero sets no limit.
@@ -23,23 +23,23 @@
 // span is a time in which the platform was disturbed.
 type span struct{ from, to time.Time }
 
-// disturbances are the times in which the platform was seen to be disturbed,
+// Disturbances are the times in which the platform was seen to be disturbed,
 // oldest first. They are immutable.
-type disturbances []span
+type Disturbances []span
 
 // With returns the disturbances with one at now.
-func (d disturbances) With(now time.Time) disturbances {
+func (d Disturbances) With(now time.Time) Disturbances {
 	if n := len(d); n > 0 && now.Sub(d[n-1].to) < sameDisturbance {
-		longer := append(disturbances(nil), d...)
+		longer := append(Disturbances(nil), d...)
 		longer[n-1].to = now
 		return longer
 	}
-	return append(append(disturbances(nil), d[max(0, len(d)-maxDisturbances+1):]...), span{now, now})
+	return append(append(Disturbances(nil), d[max(0, len(d)-maxDisturbances+1):]...), span{now, now})
 }
 
 // exceeded reports whether the time from since to now, without disturbances, is
 // over the limits.
-func (d disturbances) exceeded(since, now time.Time, limits VersionLimits) bool {
+func (d Disturbances) exceeded(since, now time.Time, limits Limits) bool {
 	var total time.Duration
 	over := func(calm time.Duration) bool {
 		if calm >= leastSpan {
