--- a/cmd/covestandin/main.go
+++ b/cmd/covestandin/main.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/plainservice"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
 )
 
@@ -44,7 +46,7 @@
 	slots := flag.Int("slots", 0, "requests an engine runs at a time; 0 for no bound")
 	list := flag.String("vms", "", "JSON file with the list of VMs")
 	flag.Parse()
-	engine := standin.EngineOptions{
+	engine := modelengine.Options{
 		Name:            *name,
 		WeightsVersion:  *weights,
 		Tokens:          *tokens,
@@ -63,16 +65,16 @@
 	}
 }
 
-func newHandler(kind string, engine standin.EngineOptions, list string) (http.Handler, error) {
+func newHandler(kind string, engine modelengine.Options, list string) (http.Handler, error) {
 	switch kind {
 	case "store":
 		return standin.NewStore(), nil
 	case "vms":
 		return newVMList(list)
 	case "engine":
-		return standin.NewEngine(engine), nil
+		return modelengine.New(engine), nil
 	case "service":
-		return standin.NewService(engine.Name), nil
+		return plainservice.New(engine.Name), nil
 	default:
 		return nil, fmt.Errorf("unknown kind %q", kind)
 	}
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -19,6 +19,7 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 )
 
 const (
@@ -42,7 +43,7 @@
 		Engines:          engineCount,
 		FirstByteTimeout: 10 * time.Second,
 		EventTimeout:     5 * time.Second,
-		Engine: standin.EngineOptions{
+		Engine: modelengine.Options{
 			TokenTime:       2 * time.Millisecond,
 			PrefillPerBlock: 2 * time.Millisecond,
 		},
--- a/examples/quickstart/traffic.go
+++ b/examples/quickstart/traffic.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuscove/hibiscuscove/docs"
 	"github.com/hibiscuscove/hibiscuscove/internal/request"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -136,7 +137,7 @@
 	if !done {
 		return answer{}, fmt.Errorf("the answer has no end: %q", a.text)
 	}
-	return a, standin.CheckAnswer(string(raw), a.text, answerTokens)
+	return a, modelengine.CheckAnswer(string(raw), a.text, answerTokens)
 }
 
 func content(data string) string {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
 	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 	"github.com/hibiscuscove/hibiscuscove/internal/stream"
 )
 
@@ -127,7 +128,7 @@
 	const streams, tokens = 1000, 40
 	f := newBenchFleet(b, standin.DeploymentOptions{
 		Engines:          2,
-		Engine:           standin.EngineOptions{TokenTime: 100 * time.Millisecond},
+		Engine:           modelengine.Options{TokenTime: 100 * time.Millisecond},
 		FirstByteTimeout: 30 * time.Second,
 		EventTimeout:     30 * time.Second,
 		Deadline:         time.Minute,
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -11,6 +11,7 @@
 	openaiclient "github.com/sashabaranov/go-openai"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 )
 
 // TestClientOfOthers talks to a node with a client that nobody here wrote.
@@ -39,7 +40,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := standin.CheckAnswer(messages, got.Choices[0].Message.Content, 6); err != nil {
+		if err := modelengine.CheckAnswer(messages, got.Choices[0].Message.Content, 6); err != nil {
 			t.Error(err)
 		}
 		if diff := cmp.Diff([]any{openaiclient.FinishReasonStop, 6}, []any{got.Choices[0].FinishReason, got.Usage.CompletionTokens}); diff != "" {
@@ -63,7 +64,7 @@
 			}
 			text += chunk.Choices[0].Delta.Content
 		}
-		if err := standin.CheckAnswer(messages, text, 6); err != nil {
+		if err := modelengine.CheckAnswer(messages, text, 6); err != nil {
 			t.Error(err)
 		}
 	})
@@ -72,7 +73,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := standin.CheckAnswer(`"a lot"`, got.Choices[0].Text, 4); err != nil {
+		if err := modelengine.CheckAnswer(`"a lot"`, got.Choices[0].Text, 4); err != nil {
 			t.Error(err)
 		}
 	})
@@ -115,7 +116,7 @@
 	})
 	t.Run("stream that breaks", func(t *testing.T) {
 		broken := newFleet(t, fleetOptions{nodes: 1, dep: standin.DeploymentOptions{Engines: 1, NoContinue: true}})
-		broken.Engines[0].SetFault(standin.Fault{CutAt: 3, Forget: true})
+		broken.Engines[0].SetFault(modelengine.Fault{CutAt: 3, Forget: true})
 		cfg := openaiclient.DefaultConfig(standin.DeploymentKey)
 		cfg.BaseURL = "http://" + broken.nodes[0].settings.Listen + "/v1"
 		streamed, err := openaiclient.NewClientWithConfig(cfg).CreateChatCompletionStream(ctx, chat)
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 )
 
 const poison = "this text crashes engines"
@@ -26,7 +27,7 @@
 			t.Parallel()
 			f := newFleet(t, fleetOptions{nodes: 3, dep: standin.DeploymentOptions{
 				Engines: 6,
-				Engine:  standin.EngineOptions{TokenTime: 20 * time.Millisecond},
+				Engine:  modelengine.Options{TokenTime: 20 * time.Millisecond},
 			}})
 			deaths := f.countDeaths(poison)
 			var wg sync.WaitGroup
@@ -80,7 +81,7 @@
 			time.Sleep(150 * time.Millisecond)
 			e.Restart()
 		}
-		e.SetFault(standin.Fault{CrashOn: text})
+		e.SetFault(modelengine.Fault{CrashOn: text})
 	}
 	return func() int {
 		mu.Lock()
@@ -96,7 +97,7 @@
 	f := newFleet(t, fleetOptions{nodes: 2, dep: standin.DeploymentOptions{
 		Engines:     8,
 		DataCentres: []string{"dc-1", "dc-2"},
-		Engine:      standin.EngineOptions{TokenTime: 20 * time.Millisecond},
+		Engine:      modelengine.Options{TokenTime: 20 * time.Millisecond},
 	}})
 	var wg sync.WaitGroup
 	bodies := make([]string, 40)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -320,7 +321,7 @@
 	if len(c.errors) > 0 || !c.done {
 		return fmt.Errorf("status %d, done %t, errors %v", c.status, c.done, c.errors)
 	}
-	return standin.CheckAnswer(prompt, c.text, tokens)
+	return modelengine.CheckAnswer(prompt, c.text, tokens)
 }
 
 // checkCutOrWhole accepts a coherent answer, or an explicit error that can't
@@ -333,7 +334,7 @@
 		return fmt.Errorf("an answer with an error has an end: %v", c.errors)
 	}
 	words := len(strings.Fields(c.text))
-	return standin.CheckAnswer(prompt, c.text, words)
+	return modelengine.CheckAnswer(prompt, c.text, words)
 }
 
 func (f *fleet) admin(n *testNode, method, path string, body any) ([]byte, error) {
--- a/internal/node/matrix_test.go
+++ b/internal/node/matrix_test.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
 	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 )
 
@@ -145,7 +146,7 @@
 func runCell(t *testing.T, in *injector) {
 	f := newFleet(t, fleetOptions{
 		nodes: 2,
-		dep:   standin.DeploymentOptions{Engines: 3, Services: 2, Engine: standin.EngineOptions{TokenTime: 2 * time.Millisecond}},
+		dep:   standin.DeploymentOptions{Engines: 3, Services: 2, Engine: modelengine.Options{TokenTime: 2 * time.Millisecond}},
 		client: func(*fleet) upstream.Client {
 			return injectedClient{engineapi.NewClient(engineapi.ClientOptions{}), in}
 		},
@@ -248,16 +249,16 @@
 // way, and expects one coherent answer.
 func TestCompletionCutAtEveryIndex(t *testing.T) {
 	t.Parallel()
-	ways := map[string]func(i int) standin.Fault{
-		"cut":               func(i int) standin.Fault { return standin.Fault{CutAt: i, Once: 1} },
-		"cut and forgotten": func(i int) standin.Fault { return standin.Fault{CutAt: i, Forget: true, Once: 2} },
-		"silent":            func(i int) standin.Fault { return standin.Fault{SilentAt: i, Once: 1} },
-		"crash":             func(i int) standin.Fault { return standin.Fault{CrashAt: i, Once: 1} },
-		"crossed":           func(int) standin.Fault { return standin.Fault{Foreign: true} },
-		"doubled":           func(int) standin.Fault { return standin.Fault{Double: true} },
-		"late":              func(int) standin.Fault { return standin.Fault{Swap: true} },
-		"all three": func(i int) standin.Fault {
-			return standin.Fault{Foreign: true, Double: true, Swap: true, CutAt: i, Once: 1}
+	ways := map[string]func(i int) modelengine.Fault{
+		"cut":               func(i int) modelengine.Fault { return modelengine.Fault{CutAt: i, Once: 1} },
+		"cut and forgotten": func(i int) modelengine.Fault { return modelengine.Fault{CutAt: i, Forget: true, Once: 2} },
+		"silent":            func(i int) modelengine.Fault { return modelengine.Fault{SilentAt: i, Once: 1} },
+		"crash":             func(i int) modelengine.Fault { return modelengine.Fault{CrashAt: i, Once: 1} },
+		"crossed":           func(int) modelengine.Fault { return modelengine.Fault{Foreign: true} },
+		"doubled":           func(int) modelengine.Fault { return modelengine.Fault{Double: true} },
+		"late":              func(int) modelengine.Fault { return modelengine.Fault{Swap: true} },
+		"all three": func(i int) modelengine.Fault {
+			return modelengine.Fault{Foreign: true, Double: true, Swap: true, CutAt: i, Once: 1}
 		},
 	}
 	for _, continues := range []bool{true, false} {
@@ -269,7 +270,7 @@
 					struck := f.warmUp()
 					struck.SetFault(fault(i))
 					answer := f.complete(f.nodes[0], matrixTokens)
-					struck.SetFault(standin.Fault{})
+					struck.SetFault(modelengine.Fault{})
 					struck.Restart()
 					check := answer.check
 					if !continues && (name == "crash" || name == "cut and forgotten") {
@@ -286,7 +287,7 @@
 
 // warmUp earns a retry by requests that succeed, and returns the engine that
 // serves their prompt.
-func (f *fleet) warmUp() *standin.Engine {
+func (f *fleet) warmUp() *modelengine.Engine {
 	f.t.Helper()
 	const requests = 15
 	f.eventually("all engines are live", func() bool { return f.sees(f.nodes[0], len(f.nodes)) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/settings"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
 )
 
 func TestWholePath(t *testing.T) {
@@ -164,7 +165,7 @@
 	f := newFleet(t, fleetOptions{
 		nodes: 2,
 		dep: standin.DeploymentOptions{
-			Engine:           standin.EngineOptions{TokenTime: 60 * time.Millisecond},
+			Engine:           modelengine.Options{TokenTime: 60 * time.Millisecond},
 			FirstByteTimeout: patience,
 			EventTimeout:     patience,
 			Deadline:         2 * patience,
@@ -221,7 +222,7 @@
 	t.Parallel()
 	f := newFleet(t, fleetOptions{
 		nodes: 1,
-		dep:   standin.DeploymentOptions{Engines: 1, Engine: standin.EngineOptions{TokenTime: 20 * time.Millisecond}},
+		dep:   standin.DeploymentOptions{Engines: 1, Engine: modelengine.Options{TokenTime: 20 * time.Millisecond}},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/node/service_test.go
+++ b/internal/node/service_test.go
@@ -11,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/plainservice"
 )
 
 // TestServiceTakesRequestAndFails has the service run a filing and then fail
@@ -18,18 +20,18 @@
 func TestServiceTakesRequestAndFails(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
-		fault  standin.ServiceFault
+		fault  plainservice.Fault
 		status int
 		runs   int
 		want   string
 	}{
-		"cuts the connection": {standin.ServiceFault{CutAfterRun: true}, 502, 1, "may_have_run"},
-		"falls silent":        {standin.ServiceFault{SilentAfterRun: true}, 504, 1, "may_have_run"},
-		"crashes":             {standin.ServiceFault{CrashAfterRun: true}, 502, 1, "may_have_run"},
-		"answers 500":         {standin.ServiceFault{Fail: 500}, 500, 1, "may_have_run"},
-		"answers 400":         {standin.ServiceFault{Fail: 400}, 400, 1, "ran"},
-		"redirects 307":       {standin.ServiceFault{Redirect: 307}, 307, 0, "ran"},
-		"redirects 308":       {standin.ServiceFault{Redirect: 308}, 308, 0, "ran"},
+		"cuts the connection": {plainservice.Fault{CutAfterRun: true}, 502, 1, "may_have_run"},
+		"falls silent":        {plainservice.Fault{SilentAfterRun: true}, 504, 1, "may_have_run"},
+		"crashes":             {plainservice.Fault{CrashAfterRun: true}, 502, 1, "may_have_run"},
+		"answers 500":         {plainservice.Fault{Fail: 500}, 500, 1, "may_have_run"},
+		"answers 400":         {plainservice.Fault{Fail: 400}, 400, 1, "ran"},
+		"redirects 307":       {plainservice.Fault{Redirect: 307}, 307, 0, "ran"},
+		"redirects 308":       {plainservice.Fault{Redirect: 308}, 308, 0, "ran"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,7 +47,7 @@
 			key, body := newKey(), "filing"
 			first := f.file(f.nodes[0], key, body)
 			for _, s := range f.Services {
-				s.SetFault(standin.ServiceFault{})
+				s.SetFault(plainservice.Fault{})
 				s.Restart()
 			}
 			got := fmt.Sprint(first.status, f.Runs(body), first.verdict)
@@ -71,13 +73,13 @@
 	t.Parallel()
 	f := newFleet(t, fleetOptions{nodes: 2})
 	for _, e := range f.Engines {
-		e.SetFault(standin.Fault{CutRequest: true, Forget: true})
+		e.SetFault(modelengine.Fault{CutRequest: true, Forget: true})
 	}
 	body := fmt.Sprintf(`{"model":%q,"prompt":"draft","max_tokens":4}`, standin.DeploymentDraftRoute)
 	key := newKey()
 	first := f.call(f.nodes[0], "/v1/completions", body, callOptions{idem: key})
 	for _, e := range f.Engines {
-		e.SetFault(standin.Fault{})
+		e.SetFault(modelengine.Fault{})
 	}
 	var again reply
 	f.eventually("the resend has an outcome", func() bool {
@@ -161,7 +163,7 @@
 	const requests = 1000
 	f := newFleet(t, fleetOptions{nodes: 1, dep: standin.DeploymentOptions{Engines: 3}})
 	for _, e := range f.Engines {
-		e.SetFault(standin.Fault{Fail: http.StatusInternalServerError})
+		e.SetFault(modelengine.Fault{Fail: http.StatusInternalServerError})
 	}
 	for range requests {
 		r := f.call(f.nodes[0], "/v1/completions", completionBody(1, true), callOptions{})
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -1,3 +1,13 @@
+// Package standin has stand-ins for what surrounds the router: the platform's
+// object API, the list of VMs, and a whole deployment with engines and services.
+//
+// # Usage
+//
+//	d, err := standin.NewDeployment(standin.DeploymentOptions{Engines: 2})
+//	defer d.Close()
+//	d.Engines[0].SetFault(modelengine.Fault{CutAt: 3})
+//
+// All stand-ins are safe for concurrent use.
 package standin
 
 import (
@@ -9,6 +19,8 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/plainservice"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
 )
@@ -35,7 +47,7 @@
 type DeploymentOptions struct {
 	// Engines and Services are numbers of upstreams. The defaults are 2 and 1.
 	Engines, Services int
-	Engine            EngineOptions
+	Engine            modelengine.Options
 	// DataCentres are given to upstreams in turn. The default is one named "dc-1".
 	DataCentres []string
 	// FirstByteTimeout and EventTimeout are the limits of all routes. The defaults are 2 s and 1 s.
@@ -50,8 +62,8 @@
 type Deployment struct {
 	Store    *Store
 	VMs      *VMList
-	Engines  []*Engine
-	Services []*Service
+	Engines  []*modelengine.Engine
+	Services []*plainservice.Service
 
 	opts             DeploymentOptions
 	servers          []*http.Server
@@ -77,7 +89,7 @@
 		engine := opts.Engine
 		engine.Name = fmt.Sprintf("engine-%d", i+1)
 		engine.WeightsVersion = DeploymentWeights
-		e := NewEngine(engine)
+		e := modelengine.New(engine)
 		address, err := d.serve(e)
 		if err != nil {
 			return nil, err
@@ -86,7 +98,7 @@
 		d.engineAddresses = append(d.engineAddresses, address)
 	}
 	for i := range opts.Services {
-		s := NewService(fmt.Sprintf("service-%d", i+1))
+		s := plainservice.New(fmt.Sprintf("service-%d", i+1))
 		address, err := d.serve(s)
 		if err != nil {
 			return nil, err
--- a/internal/standin/cache.go
+++ b/internal/standin/modelengine/cache.go
@@ -1,4 +1,4 @@
-package standin
+package modelengine
 
 import (
 	"container/list"
--- a/internal/standin/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -1,15 +1,14 @@
-// Package standin has small stand-ins for what surrounds the router: model
-// engines, plain services, the platform's object API and the list of VMs.
-// Their faults are switched at run time.
+// Package modelengine is a stand-in of a model engine, whose faults are switched
+// at run time.
 //
 // # Usage
 //
-//	engine := standin.NewEngine(standin.EngineOptions{Name: "engine-1", WeightsVersion: "v1"})
+//	engine := modelengine.New(modelengine.Options{Name: "engine-1", WeightsVersion: "v1"})
 //	server := httptest.NewServer(engine)
-//	engine.SetFault(standin.Fault{CutAt: 3})
+//	engine.SetFault(modelengine.Fault{CutAt: 3})
 //
-// All stand-ins are safe for concurrent use.
-package standin
+// An Engine is safe for concurrent use.
+package modelengine
 
 import (
 	"encoding/json"
@@ -37,8 +36,8 @@
 	maxEngineBody      = 64 << 20
 )
 
-// EngineOptions sets up an Engine. The zero value works.
-type EngineOptions struct {
+// Options sets up an Engine. The zero value works.
+type Options struct {
 	Name           string
 	WeightsVersion string
 	// Tokens is the length of an answer when a request sets none. The default is 16.
@@ -85,7 +84,7 @@
 
 // Engine is a stand-in for a model engine.
 type Engine struct {
-	opts EngineOptions
+	opts Options
 	mux  *http.ServeMux
 	// OnCrash is called, in a goroutine of its own, when a fault ends the incarnation.
 	OnCrash func()
@@ -104,8 +103,8 @@
 	down        bool
 }
 
-// NewEngine returns an Engine that serves at once.
-func NewEngine(opts EngineOptions) *Engine {
+// New returns an Engine that serves at once.
+func New(opts Options) *Engine {
 	if opts.Tokens <= 0 {
 		opts.Tokens = defaultTokens
 	}
--- a/internal/standin/generation.go
+++ b/internal/standin/modelengine/generation.go
@@ -1,4 +1,4 @@
-package standin
+package modelengine
 
 import (
 	"context"
@@ -47,12 +47,12 @@
 func CheckAnswer(prompt, answer string, tokens int) error {
 	words := strings.Fields(answer)
 	if len(words) != tokens {
-		return fmt.Errorf("standin: answer has %d words, want %d", len(words), tokens)
+		return fmt.Errorf("modelengine: answer has %d words, want %d", len(words), tokens)
 	}
 	s := newSampling(prompt, "")
 	for i, word := range words {
 		if want := s.stem(); !strings.HasPrefix(word, want) {
-			return fmt.Errorf("standin: word %d is %q, want %q and a digit", i, word, want)
+			return fmt.Errorf("modelengine: word %d is %q, want %q and a digit", i, word, want)
 		}
 		s.add(word + " ")
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/plainservice/service.go
@@ -1,4 +1,14 @@
-package standin
+// Package plainservice is a stand-in of a service that is no model engine: it
+// counts how often each body ran. Its faults are switched at run time.
+//
+// # Usage
+//
+//	s := plainservice.New("filings-1")
+//	server := httptest.NewServer(s)
+//	s.SetFault(plainservice.Fault{CutAfterRun: true})
+//
+// A Service is safe for concurrent use.
+package plainservice
 
 import (
 	"encoding/json"
@@ -14,8 +24,8 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 )
 
-// ServiceFault is what goes wrong in a plain service.
-type ServiceFault struct {
+// Fault is what goes wrong in a plain service.
+type Fault struct {
 	// CutAfterRun runs a request and cuts the connection without an answer.
 	CutAfterRun bool `json:"cut_after_run,omitempty"`
 	// SilentAfterRun runs a request and never answers.
@@ -38,7 +48,7 @@
 
 	mu          sync.Mutex
 	incarnation string
-	fault       ServiceFault
+	fault       Fault
 	left        int
 	down        bool
 	state       upstream.State
@@ -47,8 +57,8 @@
 	crashed     chan struct{}
 }
 
-// NewService returns a Service.
-func NewService(name string) *Service {
+// New returns a Service.
+func New(name string) *Service {
 	return &Service{name: name, incarnation: uuid.NewString(), state: upstream.StateLive, runs: make(map[string]int), crashed: make(chan struct{})}
 }
 
@@ -71,7 +81,7 @@
 }
 
 // SetFault switches a fault on, and off with the zero value.
-func (s *Service) SetFault(f ServiceFault) {
+func (s *Service) SetFault(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = f
@@ -104,14 +114,14 @@
 	s.crashed = make(chan struct{})
 }
 
-func (s *Service) takeFault() (ServiceFault, bool) {
+func (s *Service) takeFault() (Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fault.Once == 0 {
 		return s.fault, s.down
 	}
 	if s.left == 0 {
-		return ServiceFault{}, s.down
+		return Fault{}, s.down
 	}
 	s.left--
 	return s.fault, s.down
@@ -123,7 +133,7 @@
 	case "/health":
 		s.health(w)
 	case "/fault":
-		var f ServiceFault
+		var f Fault
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
