--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/strictjson"
 )
 
@@ -35,15 +36,17 @@
 	StoreAddress string `json:"store_address"`
 	MemoryMB     int    `json:"memory_mb"`
 
-	StopMS           int     `json:"stop_ms"`
-	EntryTTLMS       int     `json:"entry_ttl_ms"`
-	LeaseMS          int     `json:"lease_ms"`
-	VersionMS        int     `json:"version_ms"`
-	VersionTotalMS   int     `json:"version_total_ms"`
-	RetryRatio       float64 `json:"retry_ratio"`
-	RetrySlack       float64 `json:"retry_slack"`
-	RetryWindowMS    int     `json:"retry_window_ms"`
-	LogLinesPerS     int     `json:"log_lines_per_s"`
+	StopMS         int     `json:"stop_ms"`
+	EntryTTLMS     int     `json:"entry_ttl_ms"`
+	LeaseMS        int     `json:"lease_ms"`
+	VersionMS      int     `json:"version_ms"`
+	VersionTotalMS int     `json:"version_total_ms"`
+	RetryRatio     float64 `json:"retry_ratio"`
+	RetrySlack     float64 `json:"retry_slack"`
+	RetryWindowMS  int     `json:"retry_window_ms"`
+	LogLinesPerS   int     `json:"log_lines_per_s"`
+	// PickRule is roster's rule; anything but the default is for comparison.
+	PickRule         string  `json:"pick_rule"`
 	ReadTokensPerMS  float64 `json:"read_tokens_per_ms"`
 	DistanceMS       float64 `json:"distance_ms"`
 	SharedWeight     float64 `json:"shared_weight"`
@@ -102,6 +105,9 @@
 	if _, err := netip.ParseAddr(s.IP); err != nil {
 		add("ip", "want an IP number, got %q", s.IP)
 	}
+	if !roster.Rule(s.PickRule).Known() {
+		add("pick_rule", "%q is none of the empty one, %q and %q", s.PickRule, roster.ByLoad, roster.ByHash)
+	}
 	numbers := []struct {
 		field       string
 		value       int
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -84,6 +84,8 @@
 		"wrong type":       {`134`, `"much"`, "memory_mb"},
 		"unknown field":    {`"peer_port"`, `"pear_port"`, "pear_port"},
 		"nothing filled":   {`3000`, ``, ""},
+		"unknown rule":     {`"peer_port"`, `"pick_rule": "luck", "peer_port"`, "pick_rule"},
+		"no metrics port":  {`"10.1.0.30:9464"`, `"10.1.0.30"`, "metrics_listen"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
