internal/roster: a crunch is fair to sizes and ends

Nothing then told that the crunch was over but shorter ones.

Change: prompts are judged by 4,500 tokens, the usual long one; at an engine where no prompt is known to wait the pace does not count. Tests, failing first: TestCrunchIsFairToSizes; TestNoCrunchWithoutEnd.

--- a/internal/roster/pace_test.go
+++ b/internal/roster/pace_test.go
@@ -13,6 +13,9 @@
 	tb := table(engines(3, 1)...)
 	q := query()
 	q.Parts = nil
+	tb.Begin(start, engine("e00", 1), roster.Load{Requests: 1, WaitingTokens: 1_000}, nil, 0)
+	tb.Begin(start, engine("e01", 1), roster.Load{Requests: 1, WaitingTokens: 1_000}, nil, 0)
+	tb.Begin(start, engine("e02", 1), roster.Load{Requests: 1, WaitingTokens: 1_000}, nil, 0)
 	before := pick(t, tb, start, q)
 	serve := func(times float64) {
 		for range 200 {
@@ -54,3 +57,55 @@
 		})
 	}
 }
+
+// TestCrunchIsFairToSizes: while first tokens come five times later than thought,
+// a long prompt is turned away by the queue that turns the usual one away, not by
+// its own length.
+func TestCrunchIsFairToSizes(t *testing.T) {
+	const target = 500 // ms
+	tests := map[string]struct {
+		own, queued int
+		want        bool
+	}{
+		"usual, idle":   {2_900, 0, true},
+		"long, idle":    {12_000, 0, true},
+		"longest, idle": {39_000, 0, true},
+		"usual, busy":   {2_900, 20_000, false},
+		"longest, busy": {39_000, 20_000, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := table(engine("e", 1))
+			for range 200 {
+				stay := tb.Begin(start, engine("e", 1), roster.Load{}, nil, 0)
+				stay.First(start.Add(580*time.Millisecond), 100)
+				stay.End()
+			}
+			tb.Begin(start, engine("e", 1), roster.Load{Requests: 1, WaitingTokens: test.queued}, nil, 0)
+			q := query()
+			q.Parts, q.OwnTokens = nil, test.own
+			if got := pick(t, tb, start, q).FirstMS <= target; got != test.want {
+				t.Errorf("admitted %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestNoCrunchWithoutEnd: however slow first tokens were, an idle engine gets the
+// next request, which tells that the crunch is over.
+func TestNoCrunchWithoutEnd(t *testing.T) {
+	const target = 500 // ms
+	tb := table(engine("e", 1))
+	for range 500 {
+		stay := tb.Begin(start, engine("e", 1), roster.Load{}, nil, 0)
+		stay.First(start.Add(5*time.Second), 100)
+		stay.End()
+	}
+	for _, own := range []int{300, 2_900, 9_000, 39_000} {
+		q := query()
+		q.OwnTokens = own
+		if c := pick(t, tb, start, q); c.FirstMS > target {
+			t.Errorf("a prompt of %d own tokens is refused at an idle engine, estimate %.0f ms", own, c.FirstMS)
+		}
+	}
+}
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -75,9 +75,9 @@
 	loadingMS = 50_000
 )
 
-// judgedTokens is the longest prompt that is judged by its whole length. It is
-// over the usual one that no engine keeps a part of.
-const judgedTokens = 10_000
+// judgedTokens is the longest prompt that is judged by its whole length: the
+// usual long one, most of whose shared parts are kept.
+const judgedTokens = 4_500
 
 // homeShare is the part of a prompt's unknown shared parts that its home is
 // thought to lack.
@@ -103,9 +103,9 @@
 	// WaitMS is how long it takes to read what waits there and the prompt.
 	WaitMS float64
 	// FirstMS is the estimate of the time until the first token: WaitMS, as much
-	// longer as first tokens took lately, and what passes at an idle engine. Very
-	// long prompts are judged as if they were shorter, by the queue that they
-	// meet: they would be late anywhere.
+	// longer as first tokens took lately, and what passes at an idle engine. Long
+	// prompts are judged as if they were as long as the usual one, by the queue
+	// that they meet: the longest would be late anywhere.
 	FirstMS float64
 	// MissingTokens are the tokens that it is thought to have to read.
 	MissingTokens int
@@ -122,6 +122,8 @@
 	Home bool
 	// Fit is false if the upstream is a last resort: avoided, lapsed or loading.
 	Fit bool
+	// idle says that no prompt is known to wait there.
+	idle bool
 }
 
 // Pick returns the upstream where the request costs least.
@@ -149,7 +151,13 @@
 	}
 	best.Candidates = len(list)
 	tooLong := float64(max(0, best.MissingTokens-judgedTokens)) / t.opts.Policy.ReadTokensPerMS
-	best.FirstMS = t.opts.Policy.StartMS + t.pace.times()*(best.WaitMS-tooLong)
+	times := t.pace.times()
+	if best.idle {
+		// It need not wait, whatever others had to; its first token tells of the end
+		// of a crunch.
+		times = 1
+	}
+	best.FirstMS = t.opts.Policy.StartMS + times*(best.WaitMS-tooLong)
 	return best, true
 }
 
@@ -212,7 +220,7 @@
 // of the upstream's faults.
 func (t *Table) base(now time.Time, m *member, load Load) (c Choice, faultsMS float64) {
 	u := m.upstream
-	c = Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true}
+	c = Choice{Upstream: u, Places: u.Slots - load.Requests, Fit: true, idle: load.WaitingTokens == 0}
 	if u.DataCentre != t.opts.DataCentre {
 		c.CostMS += t.opts.Policy.DistanceMS
 	}
