--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -121,7 +121,6 @@
 	// private are the tokens of running requests that are not kept parts.
 	private  int
 	version  int64
-	loading  bool
 	target   int64
 	down     bool
 	stepping bool
--- a/internal/enginemodel/kept.go
+++ b/internal/enginemodel/kept.go
@@ -83,7 +83,7 @@
 	if found.tokens < p.Tokens {
 		k.tokens += p.Tokens - found.tokens
 		found.tokens = p.Tokens
-		k.events = append(k.events, Event{p.ID, p.Tokens})
+		k.events = append(k.events, Event(p))
 	}
 }
 
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -18,10 +18,10 @@
 	for _, p := range []Pattern{
 		{"steady", "the usual load", func(*fleet) {}},
 		{"hot-prompt", "four in ten requests of a kind ask for one subject", func(f *fleet) {
-			f.during(8, 10, func(on bool) { f.hot = choose(on, 0.4, 0) })
+			f.during(10, func(on bool) { f.hot = choose(on, 0.4, 0) })
 		}},
 		{"quarter-silent", "a quarter of the engines goes dark for a third of the day", func(f *fleet) {
-			f.loop.After(f.scaled(8), func() { f.crash(4, f.scaled(12)) })
+			f.loop.After(f.scaled(troubleAt), func() { f.crash(4, f.scaled(12)) })
 		}},
 		{"rollouts-in-a-row", "new weights every 8 s, and engines crash meanwhile", func(f *fleet) {
 			for i := range 3 {
@@ -49,13 +49,13 @@
 			f.loop.After(24*time.Second, func() { f.name(4) })
 		}},
 		{"burst-with-repeats", "twice the load for a while, and callers that repeat at once", func(f *fleet) {
-			f.during(8, 6, func(on bool) { f.load, f.impatient = choose(on, 2.0, 1), on })
+			f.during(6, func(on bool) { f.load, f.impatient = choose(on, 2.0, 1), on })
 		}},
 		{"third-cut-off", "a third of the VMs hears no other VM for a third of the day", func(f *fleet) {
-			f.during(8, 10, func(on bool) { f.cut(3, on) })
+			f.during(10, func(on bool) { f.cut(3, on) })
 		}},
 		{"store-away-in-a-drain", "the store of kept prompts is lost while engines leave", func(f *fleet) {
-			f.during(8, 5, func(on bool) { f.store.SetUp(!on) })
+			f.during(5, func(on bool) { f.store.SetUp(!on) })
 			f.loop.After(f.scaled(9), func() { f.drain(6) })
 		}},
 		{"rolling-restart", "the VMs restart one after the other", func(f *fleet) {
@@ -64,7 +64,7 @@
 			}
 		}},
 		{"slow-links", "kept memory moves at a twentieth of its speed for a third of the day", func(f *fleet) {
-			f.during(8, 10, func(on bool) {
+			f.during(10, func(on bool) {
 				for _, e := range f.engines {
 					e.SlowLink(choose(on, 20.0, 1))
 				}
@@ -91,10 +91,14 @@
 	return b
 }
 
-// during switches something on and off again.
-func (f *fleet) during(from, seconds float64, set func(on bool)) {
-	f.loop.After(f.scaled(from), func() { set(true) })
-	f.loop.After(f.scaled(from+seconds), func() { set(false) })
+// troubleAt is when what lasts for a while begins, in seconds of the usual day:
+// prompts are kept by then.
+const troubleAt = 8
+
+// during switches something on and, so many seconds of the usual day later, off.
+func (f *fleet) during(seconds float64, set func(on bool)) {
+	f.loop.After(f.scaled(troubleAt), func() { set(true) })
+	f.loop.After(f.scaled(troubleAt+seconds), func() { set(false) })
 }
 
 // crash takes one in n engines away, in silence.
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -143,7 +143,7 @@
 		return Choice{}, false
 	}
 	t.peers.expire(now)
-	best := Choice{}
+	var best Choice
 	if t.sparse && len(q.Parts) > 0 && t.opts.Policy.Rule == ByPrompt {
 		best = t.pickAgreed(now, list, q)
 	} else {
