internal/registry: a watcher that others have replaced does not count as cut off

Cause (test): since watchers of a large fleet are chosen among those that do watch, one whose call failed may be replaced and then makes no call that would tell that the store is there again.

TestReplacedWatcherIsWell fails without the change.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -190,6 +190,7 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		if !list && f.Revision() > 0 && !f.opts.Watches(f.opts.Now()) {
+			f.rest()
 			wait.For(ctx, passivePause)
 			continue
 		}
@@ -243,6 +244,17 @@
 	}
 }
 
+// rest notes that others watch in this VM's place. It makes no calls that could
+// show that the store is there again.
+func (f *Follower[T]) rest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing.IsZero() {
+		f.failing = time.Time{}
+		f.opts.Log.Info().Str("collection", f.opts.Name).Msg("others watch the store")
+	}
+}
+
 // worked notes that a call has worked.
 func (f *Follower[T]) worked(now time.Time) {
 	if f.failing.IsZero() {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -222,3 +222,47 @@
 		t.Error("changes that follow on were not taken")
 	}
 }
+
+// TestReplacedWatcherIsWell: a VM whose watch failed, and which others have
+// replaced, makes no more calls; it must not count as cut off for ever.
+func TestReplacedWatcherIsWell(t *testing.T) {
+	feed := &fakeFeed{steps: []step{{page: page{Revision: 1}}, {err: errors.New("cut off")}}}
+	var f *registry.Follower[string]
+	failed := make(chan struct{})
+	var once sync.Once
+	f = registry.NewFollower(registry.Options[string]{
+		Name: "test", Feed: feed, Sink: &fakeSink{}, Now: time.Now, Log: zerolog.Nop(),
+		Watches: func(time.Time) bool {
+			if f.Healthy() {
+				select {
+				case <-failed:
+					return false
+				default:
+					return true
+				}
+			}
+			once.Do(func() { close(failed) })
+			return false
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	select {
+	case <-failed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the watch did not fail")
+	}
+	for end := time.Now().Add(2 * time.Second); !f.Healthy(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the VM counts as cut off though it makes no calls")
+		}
+	}
+}
