--- a/cmd/hibiscuscove/main.go
+++ b/cmd/hibiscuscove/main.go
@@ -51,14 +51,7 @@
 		return exitUsage
 	}
 	s, problems, err := hibiscuscove.LoadSettings(*path)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	for _, p := range problems {
-		_, _ = fmt.Fprintln(stderr, p)
-	}
-	if len(problems) > 0 {
+	if !usable(stderr, problems, err) {
 		return exitUsage
 	}
 	if *check {
@@ -67,6 +60,18 @@
 	return serve(s, stderr)
 }
 
+// usable prints what is wrong with settings and reports whether nothing is.
+func usable[P any](stderr io.Writer, problems []P, err error) bool {
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return false
+	}
+	for _, p := range problems {
+		_, _ = fmt.Fprintln(stderr, p)
+	}
+	return len(problems) == 0
+}
+
 func serve(s hibiscuscove.Settings, stderr io.Writer) int {
 	log := zerolog.New(stderr).With().Timestamp().Logger()
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
--- a/cmd/hibiscuscove/platform.go
+++ b/cmd/hibiscuscove/platform.go
@@ -35,14 +35,7 @@
 		return exitUsage
 	}
 	s, problems, err := entryvm.LoadSettings(path)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	for _, p := range problems {
-		_, _ = fmt.Fprintln(stderr, p)
-	}
-	if len(problems) > 0 {
+	if !usable(stderr, problems, err) {
 		return exitUsage
 	}
 	if check {
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -94,7 +94,6 @@
 	left    int
 	ready   time.Time
 	decoded int
-	held    []Part
 }
 
 // tokens are all that the request takes.
@@ -278,7 +277,7 @@
 		return
 	}
 	e.private -= r.Own.Tokens + r.OutputTokens
-	e.kept.hold(r.held, -1)
+	e.kept.hold(r.Parts, -1)
 	e.kept.put(r.Own)
 	e.kept.shrink(e.opts.MemoryTokens - e.private)
 	e.loop.After(milliseconds(e.opts.FirstMS), r.End)
@@ -294,8 +293,7 @@
 	if r.Save != nil {
 		r.Save.save(r.Own)
 	}
-	r.held = r.Parts
-	e.kept.hold(r.held, 1)
+	e.kept.hold(r.Parts, 1)
 	e.kept.shrink(e.opts.MemoryTokens - e.private)
 }
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -77,6 +77,7 @@
 	started     time.Time
 
 	store          *platform.Store
+	dialer         *exchange.Dialer
 	configuration  *routing.Holder
 	configurations *registry.Follower[routing.Document]
 	upstreams      *roster.Table
@@ -122,6 +123,7 @@
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: snapshotTimeout},
 		fetching:      make(map[string]bool),
+		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS)}),
 	}
 	v.store = platform.NewStore(s.StoreAddress, v.metrics)
 	debug.SetGCPercent(garbagePercent)
@@ -178,7 +180,6 @@
 }
 
 func (v *VM) buildRollout() {
-	dialer := exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(v.settings.ConnectTimeoutMS)})
 	clock := rollout.Clock{Now: v.opts.Now, Boot: v.opts.Boot}
 	v.leases = platform.LeaseBook{Store: v.store, Name: "rollout"}
 	v.keeper = rollout.NewKeeper(rollout.LeaseOptions{
@@ -193,7 +194,7 @@
 		Log:         v.log,
 	})
 	v.rollout = rollout.New(rollout.Options{
-		Keeper: v.keeper, Engines: platform.Engines{Dialer: dialer}, Upstreams: v.upstreams,
+		Keeper: v.keeper, Engines: platform.Engines{Dialer: v.dialer}, Upstreams: v.upstreams,
 		Clock: clock, Holder: v.settings.Name, Turn: v.turn, Log: v.log,
 		Changed: func(took time.Duration) {
 			metrics.GetOrRegisterHistogram("engine_change_ms", v.metrics, metrics.NewUniformSample(sampleSize)).Update(took.Milliseconds())
@@ -210,7 +211,7 @@
 		Codec:         platform.Codec{},
 		Configuration: v.configuration,
 		Upstreams:     v.upstreams,
-		Dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(v.settings.ConnectTimeoutMS)}),
+		Dialer:        v.dialer,
 		Retries:       retries,
 		Suspects:      v.suspects,
 		Fleet:         v,
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -14,7 +14,6 @@
 	rejectedTries = 3
 	unsentTries   = 4
 	connectLimit  = 60 * time.Millisecond
-	returnShare   = 4
 	// busyReturn is when callers come back after a refusal for want of engines.
 	busyReturn = 150 * time.Millisecond
 	// outdatedGrace is how long after a version's naming older ones cost nothing,
@@ -105,11 +104,11 @@
 		c.refused(busyReturn)
 		return
 	}
-	wait := time.Duration(choice.FirstMS * float64(time.Millisecond))
-	if first := len(c.tried) == 0; first && wait > c.class.Target {
-		back := min(wait-c.class.Target/2, (c.class.Patience-now.Sub(c.sent))/returnShare)
-		c.refused(back*3/4 + time.Duration(f.rng.Int64N(int64(back/2)+1)))
-		return
+	if len(c.tried) == 0 {
+		if back, late := choice.Late(c.class.Target, c.class.Patience-now.Sub(c.sent), f.rng.Int64N); late {
+			c.refused(back)
+			return
+		}
 	}
 	c.tried = append(c.tried, choice.Upstream.ID)
 	e := f.engine(choice.Upstream.ID)
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -60,6 +60,7 @@
 	rng     *rand.Rand
 	d       Deployment
 	opts    Options
+	policy  roster.Policy
 	engines []*engine
 	vms     []*vm
 	store   *enginemodel.Store
@@ -83,9 +84,8 @@
 // engine is one engine of the fleet.
 type engine struct {
 	*enginemodel.Engine
-	upstream  roster.Upstream
-	dc        int
-	followers []*vm
+	upstream roster.Upstream
+	dc       int
 }
 
 // vm is one entry VM.
@@ -152,7 +152,7 @@
 
 func newFleet(d Deployment, opts Options, policy roster.Policy) *fleet {
 	f := &fleet{
-		loop: virtualtime.New(epoch), rng: rand.New(rand.NewPCG(opts.Seed, 1)), d: d, opts: opts,
+		loop: virtualtime.New(epoch), rng: rand.New(rand.NewPCG(opts.Seed, 1)), d: d, opts: opts, policy: policy,
 		store: enginemodel.NewStore(d.StoreTokens, 16, d.StoreLinkTokensPerMS), loads: &enginemodel.Loads{},
 		result:  &Result{Deployment: d.Name, Pattern: opts.Pattern, Policy: opts.Policy, Seed: opts.Seed},
 		lastUse: make(map[string]time.Time), version: 1, namedAt: epoch, load: 1,
@@ -177,7 +177,7 @@
 	for i := range d.VMs {
 		dc := i % d.DataCentres
 		v := &vm{dc: dc, up: true, name: fmt.Sprintf("v%03d", i)}
-		v.table = f.newTable(dc, policy)
+		v.table = f.newTable(dc)
 		f.vms = append(f.vms, v)
 	}
 	f.connect()
@@ -186,8 +186,8 @@
 
 func dcName(i int) string { return string(rune('a' + i)) }
 
-func (f *fleet) newTable(dc int, policy roster.Policy) *roster.Table {
-	t := roster.New(roster.Options{DataCentre: dcName(dc), Policy: policy, VersionLimits: f.d.VersionLimits})
+func (f *fleet) newTable(dc int) *roster.Table {
+	t := roster.New(roster.Options{DataCentre: dcName(dc), Policy: f.policy, VersionLimits: f.d.VersionLimits})
 	t.SetCache(service, f.d.Engine.MemoryTokens)
 	t.SetStore(roster.Upstream{ID: "store", Address: "10.9.9.9:80"}, f.d.StoreTokens)
 	t.SetFleet(f.d.VMs)
@@ -215,11 +215,6 @@
 		f.follow(v)
 	}
 	for _, e := range f.engines {
-		for _, v := range f.vms {
-			if !f.large() {
-				e.followers = append(e.followers, v)
-			}
-		}
 		f.loop.After(time.Duration(f.rng.Int64N(int64(restPeriod))), func() { f.loop.Every(restPeriod, func() { f.tellKept(e) }) })
 	}
 }
@@ -264,13 +259,14 @@
 	}
 }
 
-// tellKept delivers an engine's events to its followers. A few get lost.
+// tellKept delivers an engine's events, which only VMs of a small fleet follow.
+// A few get lost.
 func (f *fleet) tellKept(e *engine) {
-	if !e.Up() {
+	if !e.Up() || f.large() {
 		return
 	}
 	parts := f.heard(e.TakeEvents(), f.d.EventLoss)
-	for _, v := range e.followers {
+	for _, v := range f.vms {
 		f.loop.After(f.d.EventLag+f.delay(v.dc, e.dc), func() {
 			if v.up {
 				v.table.Reached(f.loop.Now(), e.upstream.ID)
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -1,8 +1,9 @@
 package experiment
 
 import (
-	"math"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 )
 
 // Pattern is a load and what goes wrong beside it.
@@ -36,7 +37,7 @@
 			}
 			f.loop.After(12*time.Second, func() { f.name(3) })
 		}},
-		{"late-orders-in-a-crunch", "crashes in a row while a third of the VMs is cut off and half of the orders are carried out late", func(f *fleet) {
+		{"late-orders-in-a-crunch", "crashes in a row while a third of the VMs is cut off and half of the orders get no answer", func(f *fleet) {
 			f.load, f.lateOrders = 1.1, true
 			f.loop.After(time.Second, func() { f.cut(3, true) })
 			f.loop.After(13*time.Second, func() { f.cut(3, false) })
@@ -150,23 +151,12 @@
 	const startTime = 700 * time.Millisecond
 	v.up = false
 	f.loop.After(startTime, func() {
-		policy := Policies()[f.opts.Policy]
-		if f.opts.Weights != nil {
-			policy = *f.opts.Weights
-		}
-		v.table, v.up, v.rounds, v.storeSeen, v.storeNext = f.newTable(v.dc, policy), true, nil, 0, 0
+		v.table, v.up, v.rounds, v.storeSeen, v.storeNext = f.newTable(v.dc), true, nil, 0, 0
 	})
 }
 
-// The figures of a rollout are those of the rollout package.
-const (
-	rolloutTick  = 60 * time.Millisecond
-	announceLead = 200 * time.Millisecond
-	freePeriod   = 2500 * time.Millisecond
-	reportLag    = 220 * time.Millisecond
-	doubtPeriod  = 1300 * time.Millisecond
-	loadsShare   = 0.22
-)
+// doubtPeriod is how long an order without an answer is left alone.
+const doubtPeriod = 1300 * time.Millisecond
 
 // name names new weights, which one VM then brings to all engines.
 func (f *fleet) name(version int64) {
@@ -183,7 +173,7 @@
 		return // a newer version is on its way
 	}
 	now, leader := f.loop.Now(), f.vms[0].table
-	loads := int(math.Ceil(loadsShare * float64(len(f.engines))))
+	loads, prepared := rollout.Loads(len(f.engines)), rollout.Prepared(len(f.engines))
 	load := leader.TotalLoad(now)
 	behind := 0
 	for _, e := range f.engines {
@@ -194,7 +184,7 @@
 		}
 		behind++
 		since, picked := chosen[e]
-		if !picked && len(chosen) < loads+(loads+1)/2 && e.Up() {
+		if !picked && len(chosen) < prepared && e.Up() {
 			chosen[e] = now
 			picked, since = true, now
 		}
@@ -203,14 +193,14 @@
 		}
 		leader.Announce(now, e.upstream.ID, version)
 		age := now.Sub(since)
-		if loading[e] || age < announceLead || age < freePeriod && load[e.upstream.ID].Requests > 0 || len(loading) >= loads {
+		if loading[e] || age < rollout.AnnounceLead || age < rollout.FreePeriod && load[e.upstream.ID].Requests > 0 || len(loading) >= loads {
 			continue
 		}
 		loading[e] = true
 		f.loadWeights(e, version, loading)
 	}
 	if behind > 0 {
-		f.loop.After(rolloutTick, func() { f.rollout(version, chosen, loading) })
+		f.loop.After(rollout.Tick, func() { f.rollout(version, chosen, loading) })
 	}
 }
 
@@ -223,7 +213,7 @@
 	e.Load(version, func() {
 		f.result.RolloutMS = max(f.result.RolloutMS, float64(f.loop.Now().Sub(f.namedAt))/float64(time.Millisecond))
 		e.upstream.Version = version
-		f.loop.After(time.Duration(f.rng.Int64N(int64(reportLag))), func() {
+		f.loop.After(time.Duration(f.rng.Int64N(int64(rollout.ReportEvery))), func() {
 			delete(loading, e)
 			f.vms[0].table.SawVersion(f.loop.Now(), e.upstream.ID, e.upstream.Born, version)
 		})
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -27,12 +27,6 @@
 	// request waits for the first byte before it goes to another upstream.
 	plainSilence  = 150 * time.Millisecond
 	streamSilence = 800 * time.Millisecond
-	// admitTargets is how many times its target latency a request may wait for
-	// its first token, by estimate.
-	admitTargets = 1.0
-	// returnShare is the part of their patience that callers wait at most before
-	// they come back.
-	returnShare = 4
 	// gapSilence is the least pause in a stream after which it is resumed elsewhere.
 	gapSilence = time.Second
 )
@@ -214,18 +208,11 @@
 	if !j.service.Engine || j.runs+j.rejected+j.unsent > 0 || j.begun {
 		return nil
 	}
-	wait := time.Duration(c.FirstMS * float64(time.Millisecond))
-	limit := time.Duration(admitTargets * float64(j.route.TargetLatency))
-	if limit <= 0 || wait <= limit {
+	back, late := c.Late(j.route.TargetLatency, j.request.Patience, rand.Int64N)
+	if !late {
 		return nil
 	}
 	j.line(now).Float64("first_ms", c.FirstMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
-	back := wait - limit/2
-	if j.request.Patience > 0 {
-		back = min(back, j.request.Patience/returnShare)
-	}
-	// Those refused together should not come back together.
-	back = back*3/4 + rand.N(back/2+1)
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeBusy, "no engine can answer in time").WithRetryAfter(back)
 }
 
--- a/internal/rollout/change.go
+++ b/internal/rollout/change.go
@@ -13,7 +13,7 @@
 func (r *Rollout) admit(ctx context.Context, u roster.Upstream) error {
 	start := r.opts.Clock.Now()
 	for {
-		if !wait.For(ctx, tick) {
+		if !wait.For(ctx, Tick) {
 			return ctx.Err()
 		}
 		now := r.opts.Clock.Now()
@@ -28,7 +28,7 @@
 			// takes the lease.
 			return nil
 		}
-		if age < announceLead || age < freePeriod && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 {
+		if age < AnnounceLead || age < FreePeriod && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 {
 			continue
 		}
 		if r.enter() {
@@ -39,15 +39,10 @@
 
 // enter takes a place among the engines that load.
 func (r *Rollout) enter() bool {
-	engines := 0
-	for _, u := range r.opts.Upstreams.All() {
-		if u.Model != "" {
-			engines++
-		}
-	}
+	loads := Loads(r.engines())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.loading >= r.loads(engines) && !r.closing.Load() {
+	if r.loading >= loads && !r.closing.Load() {
 		return false
 	}
 	r.loading++
@@ -107,7 +102,7 @@
 		r.opts.Upstreams.Announce(now, u.ID, named)
 		inDoubt := !given.IsZero() && report.Orders == at && now.Sub(given) < doubtPeriod
 		if report.Busy || inDoubt {
-			if !wait.For(ctx, reportEvery) {
+			if !wait.For(ctx, ReportEvery) {
 				return ctx.Err()
 			}
 			continue
@@ -116,7 +111,7 @@
 			return err
 		}
 		given, at = r.opts.Clock.Now(), report.Orders
-		if !wait.For(ctx, reportEvery) {
+		if !wait.For(ctx, ReportEvery) {
 			return ctx.Err()
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -85,14 +85,23 @@
 	Log     zerolog.Logger
 }
 
+// The figures of a rollout that a model of one needs as well.
+const (
+	// Tick is how often the VM that leads looks what to do.
+	Tick = 60 * time.Millisecond
+	// AnnounceLead is how long before an order the peers are told of it, so
+	// that none of them sends new work there.
+	AnnounceLead = 200 * time.Millisecond
+	// FreePeriod is how long an engine is given to become free of work before
+	// its order, which then waits for the rest.
+	FreePeriod = 2500 * time.Millisecond
+	// ReportEvery is the time between two looks at an engine that changes.
+	ReportEvery = 220 * time.Millisecond
+)
+
 const (
-	tick = 60 * time.Millisecond
 	// turnPeriod is how long a VM waits for each one that comes before it.
 	turnPeriod = 1200 * time.Millisecond
-	// announceLead is how long before an order the peers are told of it, so
-	// that none of them sends new work there.
-	announceLead = 200 * time.Millisecond
-	reportEvery  = 220 * time.Millisecond
 	// othersMemory is over the time in which two VMs may not both give orders to
 	// one engine.
 	othersMemory = time.Minute
@@ -111,9 +120,6 @@
 	// slow one another down. Half as many more are made free of work beforehand.
 	loadsShare = 0.22
 	leastLoads = 3
-	// freePeriod is how long an engine is given to become free of work before
-	// its order, which then waits for the rest.
-	freePeriod = 2500 * time.Millisecond
 )
 
 // Rollout is one VM's part in bringing engines up to date.
@@ -179,7 +185,7 @@
 	defer wg.Wait()
 	changes, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(Tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -276,18 +282,13 @@
 // next marks and returns the engines whose change begins now: the least busy first.
 func (r *Rollout) next(now time.Time, behind []roster.Upstream) []roster.Upstream {
 	const failedPause = 700 * time.Millisecond
-	engines := 0
-	for _, u := range r.opts.Upstreams.All() {
-		if u.Model != "" {
-			engines++
-		}
-	}
+	prepared := Prepared(r.engines())
 	avoided := r.opts.Upstreams.Avoided(now)
 	early := now.Before(r.opts.Keeper.Waits())
 	load := r.opts.Upstreams.TotalLoad(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	free := r.loads(engines) + (r.loads(engines)+1)/2 - len(r.changing)
+	free := prepared - len(r.changing)
 	behind = slices.DeleteFunc(behind, func(u roster.Upstream) bool {
 		return r.changing[u.ID] || now.Sub(r.failed[u.ID]) < failedPause || slices.Contains(avoided, u.ID) ||
 			early && now.Sub(r.others[u.ID]) < othersMemory
@@ -303,7 +304,24 @@
 	return behind
 }
 
-// loads is how many of the engines may load at once.
-func (r *Rollout) loads(engines int) int {
+// engines is how many model engines there are.
+func (r *Rollout) engines() int {
+	n := 0
+	for _, u := range r.opts.Upstreams.All() {
+		if u.Model != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Loads is how many of so many engines may load at once.
+func Loads(engines int) int {
 	return max(leastLoads, int(math.Ceil(loadsShare*float64(engines))))
 }
+
+// Prepared is how many of so many engines load or are made free for it.
+func Prepared(engines int) int {
+	loads := Loads(engines)
+	return loads + (loads+1)/2
+}
--- a/internal/roster/agreed.go
+++ b/internal/roster/agreed.go
@@ -31,13 +31,18 @@
 	key := promptKey(q)
 	byRank := func(a, b *member) int { return cmp.Compare(b.rank(key), a.rank(key)) }
 	ranked := make([]*member, 0, homes+1)
-	sources := make(map[int64]pair)
+	sources := make(map[int64]*agreedSources)
 	for _, m := range list {
+		s := sources[m.upstream.Version]
+		if s == nil {
+			s = &agreedSources{stored: t.storeSource(now, m.upstream.Version, q.Parts)}
+			sources[m.upstream.Version] = s
+		}
 		if t.avoids(now, m) || !m.lapsed.IsZero() {
 			continue
 		}
 		// One that is about to change its weights still has what it had.
-		sources[m.upstream.Version] = sources[m.upstream.Version].with(m, byRank)
+		s.add(m, byRank)
 		if m.isLoading(now) {
 			continue
 		}
@@ -61,30 +66,33 @@
 	return best
 }
 
-// pair is the two engines of one version where a prompt most likely lies.
-type pair struct{ first, second *member }
+// agreedSources is where a prompt most likely lies for engines of one version.
+type agreedSources struct {
+	// first and second are the engines that come first for the prompt.
+	first, second *member
+	// stored is what the store of kept prompts has of it.
+	stored source
+}
 
-func (p pair) with(m *member, byRank func(a, b *member) int) pair {
+func (s *agreedSources) add(m *member, byRank func(a, b *member) int) {
 	switch {
-	case p.first == nil || byRank(m, p.first) < 0:
-		return pair{m, p.first}
-	case p.second == nil || byRank(m, p.second) < 0:
-		return pair{p.first, m}
-	default:
-		return p
+	case s.first == nil || byRank(m, s.first) < 0:
+		s.first, s.second = m, s.first
+	case s.second == nil || byRank(m, s.second) < 0:
+		s.second = m
 	}
 }
 
-// without returns the more likely one of the two that is not m, or nil.
-func (p pair) without(m *member) *member {
-	if p.first == m {
-		return p.second
+// without returns the first of the two engines that is not m, or nil.
+func (s *agreedSources) without(m *member) *member {
+	if s.first == m {
+		return s.second
 	}
-	return p.first
+	return s.first
 }
 
 // agreedCost is the cost of an engine of a rank for the prompt, 0 for its home.
-func (t *Table) agreedCost(now time.Time, m *member, q Query, rank int, sources pair) Choice {
+func (t *Table) agreedCost(now time.Time, m *member, q Query, rank int, sources *agreedSources) Choice {
 	p := t.opts.Policy
 	load := t.total(m)
 	c, faults := t.base(now, m, load)
@@ -97,15 +105,14 @@
 	if c.Home {
 		lacks *= agreedHomeShare
 	}
-	stored := t.storeSource(now, m.upstream.Version, q.Parts)
 	other := sources.without(m)
 	switch {
-	case stored.tokens > 0 && sources.first == m:
-		c.Source = stored.upstream
+	case sources.stored.tokens > 0 && sources.first == m:
+		c.Source = sources.stored.upstream
 	case other != nil:
 		c.Source = other.upstream
 	}
-	if t.store != nil && t.store.up && stored.tokens < shared {
+	if t.store != nil && t.store.up && sources.stored.tokens < shared {
 		c.Save = t.store.upstream.Address
 	}
 	reads := lacks
