internal/ingress, internal/entryvm: logs and metrics of suspect requests

Each attempt without a complete response is now logged and counted by reason, each further attempt of a suspect and each suspicion received too; dropped suspicions are counted and the dump lists the suspects. No decision changes.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
@@ -121,6 +122,8 @@
 	}
 	v.mergeDesiredAges(now, m.Desired)
 	for _, s := range m.Suspected {
+		metrics.GetOrRegisterCounter("suspicions.received", v.metrics).Inc(1)
+		v.log.Info().Str("peer", m.Name).Str("fingerprint", s.Fingerprint).Str("incarnation", s.Incarnation).Msg("suspicion received")
 		v.crashTracker.RecordBroken(now, s.Fingerprint, s.Incarnation)
 	}
 	if m.Leading > 0 {
@@ -248,9 +251,11 @@
 func (v *VM) ReportSuspect(_ time.Time, fingerprint string, u roster.Upstream) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if len(v.suspicions) < maxSuspicions {
-		v.suspicions = append(v.suspicions, beacon.Suspicion{Fingerprint: fingerprint, Incarnation: u.Incarnation()})
+	if len(v.suspicions) >= maxSuspicions {
+		metrics.GetOrRegisterCounter("suspicions.dropped", v.metrics).Inc(1)
+		return
 	}
+	v.suspicions = append(v.suspicions, beacon.Suspicion{Fingerprint: fingerprint, Incarnation: u.Incarnation()})
 }
 
 // register registers this VM in the store, retrying until that works, and adds the
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
@@ -27,6 +28,8 @@
 	Peers     []*beacon.Peer         `json:"peers"`
 	Fence     uint64                 `json:"fence"`
 	Leading   bool                   `json:"leading"`
+	// Suspects holds what is known against requests, by fingerprint.
+	Suspects map[string]ingress.Evidence `json:"suspects"`
 }
 
 func (v *VM) dump(now time.Time) Dump {
@@ -34,6 +37,7 @@
 		Settings: v.settings, At: now, Ready: v.ready(), Active: v.activeRequests.Load(), Revisions: v.revisions(),
 		Upstreams: v.upstreams.All(), Load: v.upstreams.TotalLoad(now), Avoided: v.upstreams.Avoided(now),
 		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.elector.Fence(), Leading: v.elector.Holds(now),
+		Suspects: v.crashTracker.Entries(now),
 	}
 	if c := v.configuration.Current(); c != nil {
 		d.Version = c.Version()
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -120,19 +120,32 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, context.DeadlineExceeded):
+		a.logBroken(now, "deadline", err)
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeDeadline, "the time for the request is over").WithCause(err)
 	case a.callerGone():
+		a.logBroken(now, "caller_gone", err)
 		return errCallerGone
 	case errors.Is(cause, errSilent):
+		a.logBroken(now, "silent", err)
 		a.h.opts.Upstreams.ReportUnreachable(now, a.upstream.ID)
 		err = fmt.Errorf("%w: %w", cause, err)
 	default:
+		a.logBroken(now, "broken", err)
 		a.h.opts.CrashTracker.RecordBroken(now, a.fingerprint, a.upstream.Incarnation())
 		a.h.opts.Fleet.ReportSuspect(now, a.fingerprint, a.upstream)
 	}
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the upstream broke off").WithObject("upstream/"+a.upstream.ID, "").WithCause(err)
 }
 
+// logBroken logs and counts an attempt without a complete response. reason is
+// broken, silent, deadline or caller_gone.
+func (a *attempt) logBroken(now time.Time, reason string, err error) {
+	a.h.incCounter("attempts_broken." + reason)
+	e := a.h.opts.CrashTracker.Evidence(now, a.fingerprint)
+	a.logEvent(now).Str("incarnation", a.upstream.Incarnation()).Str("fingerprint", a.fingerprint).Str("reason", reason).
+		Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
+}
+
 // forwardBuffered reads the complete response before any of it is sent to the caller.
 func (a *attempt) forwardBuffered(ctx context.Context, resp exchange.Response, head ResponseHead) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
--- a/internal/ingress/crash_tracker.go
+++ b/internal/ingress/crash_tracker.go
@@ -80,19 +80,50 @@
 
 // IsBlocked reports whether the request has crashed so many upstreams that it is blocked.
 func (t *CrashTracker) IsBlocked(now time.Time, fingerprint string) bool {
+	return t.Evidence(now, fingerprint).Crashes >= crashesToBlock
+}
+
+// Evidence is what is known against a request.
+type Evidence struct {
+	// Broken is the number of incarnations that broke off their response to the
+	// request, Crashes the number of those that are known to have crashed.
+	Broken  int `json:"broken"`
+	Crashes int `json:"crashes"`
+}
+
+// Evidence returns what is known against the request.
+func (t *CrashTracker) Evidence(now time.Time, fingerprint string) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.evidence(now, fingerprint)
+}
+
+// evidence implements Evidence. The caller holds the lock.
+func (t *CrashTracker) evidence(now time.Time, fingerprint string) Evidence {
 	s := t.suspects[fingerprint]
 	if s == nil || now.Sub(s.lastBroken) > suspectTTL {
-		return false
+		return Evidence{}
 	}
-	crashes := 0
+	e := Evidence{Broken: len(s.brokenAt)}
 	for incarnation, at := range s.brokenAt {
 		if end, ended := t.ended[incarnation]; ended && end.Sub(at) < maxEndDelay {
-			crashes++
+			e.Crashes++
+		}
+	}
+	return e
+}
+
+// Entries returns the evidence against all suspects by fingerprint, for operators.
+func (t *CrashTracker) Entries(now time.Time) map[string]Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries := make(map[string]Evidence, len(t.suspects))
+	for fingerprint := range t.suspects {
+		if e := t.evidence(now, fingerprint); e.Broken > 0 {
+			entries[fingerprint] = e
 		}
 	}
-	return crashes >= crashesToBlock
+	return entries
 }
 
 // evictSuspects makes room for a new suspect if the limit is reached: it deletes
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -95,6 +95,8 @@
 	h := j.h
 	h.opts.RetryBudget.RecordRequest(j.startedAt, j.service.Name)
 	if h.opts.CrashTracker.IsBlocked(j.startedAt, j.fingerprint) {
+		e := h.opts.CrashTracker.Evidence(j.startedAt, j.fingerprint)
+		j.logEvent(j.startedAt).Str("fingerprint", j.fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("request blocked")
 		h.refuse(j.w, j.request, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "crashes_upstreams", "upstreams have crashed while they ran this request"))
 		return
 	}
@@ -273,6 +275,10 @@
 	}, query.Parts, query.UnsharedTokens+query.OutputTokens)
 	defer inFlight.Finish()
 	a := attempt{job: j, upstream: u, choice: choice, inFlight: inFlight, cancel: cancel}
+	if e := j.h.opts.CrashTracker.Evidence(now, j.fingerprint); e.Broken > 0 {
+		j.h.incCounter("suspects_sent")
+		j.logEvent(now).Str("incarnation", u.Incarnation()).Str("fingerprint", j.fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request sent")
+	}
 	j.logEvent(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
 		Int("places", choice.FreeSlots).Int("candidates", choice.Candidates).Bool("fit", choice.Healthy).Bool("home", choice.Home).Float64("first_ms", choice.FirstTokenMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Msg("request sent")
 	return a.sendAndForward(ctx, conn)
