internal/ingress: crashes in silence, and ends that are seen late, count

Cause: handleBroken recorded only responses that were broken off, none that ended with the watchdog, the deadline or the caller's leaving; and an end that was seen over 8 s later, as after an outage of the store, was no crash. On the other hand a planned end, an entry that had only expired in an outage, and an upstream that outlived its entry were taken for crashes. Change: every attempt without a complete response is recorded with the last sign of life, an end within 30 s after it is a crash. Requests that run to completion are cleared, and blocked ones are evicted last (one suspect too many could delete any). A request that four upstreams broke off within 8 s is held until the list shows whether they crashed.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -37,6 +37,9 @@
 	choice   roster.Choice
 	inFlight *roster.InFlight
 	cancel   context.CancelCauseFunc
+	// aliveAt is when the upstream last sent something for this request, or when
+	// the request was sent.
+	aliveAt time.Time
 }
 
 // sendAndForward sends the request and forwards the response. A watchdog
@@ -56,7 +59,8 @@
 		})
 		defer watchdog.Stop()
 	}
-	resp, err := conn.Do(a.upstreamRequest(a.h.opts.Now()))
+	a.aliveAt = a.h.opts.Now()
+	resp, err := conn.Do(a.upstreamRequest(a.aliveAt))
 	if err != nil {
 		return a.handleBroken(ctx, err)
 	}
@@ -64,7 +68,8 @@
 	if head.Foreign {
 		return a.handleBroken(ctx, errors.New("the response belongs to another request"))
 	}
-	a.h.opts.Upstreams.ReportReachable(a.h.opts.Now(), a.upstream.ID)
+	a.aliveAt = a.h.opts.Now()
+	a.h.opts.Upstreams.ReportReachable(a.aliveAt, a.upstream.ID)
 	if head.NotRun {
 		return a.handleRejection(resp, head)
 	}
@@ -120,27 +125,35 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, context.DeadlineExceeded):
-		a.logBroken(now, "deadline", err)
+		a.recordBroken(now, "deadline", err)
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeDeadline, "the time for the request is over").WithCause(err)
 	case a.callerGone():
-		a.logBroken(now, "caller_gone", err)
+		a.recordBroken(now, "caller_gone", err)
 		return errCallerGone
 	case errors.Is(cause, errSilent):
-		a.logBroken(now, "silent", err)
+		a.recordBroken(now, "silent", err)
 		a.h.opts.Upstreams.ReportUnreachable(now, a.upstream.ID)
 		err = fmt.Errorf("%w: %w", cause, err)
 	default:
-		a.logBroken(now, "broken", err)
-		a.h.opts.CrashTracker.RecordBroken(now, a.fingerprint, a.upstream.Incarnation())
+		a.recordBroken(now, reasonCut, err)
 		a.h.opts.Fleet.ReportSuspect(now, a.fingerprint, a.upstream)
 	}
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the upstream broke off").WithObject("upstream/"+a.upstream.ID, "").WithCause(err)
 }
 
-// logBroken logs and counts an attempt without a complete response. reason is
-// broken, silent, deadline or caller_gone.
-func (a *attempt) logBroken(now time.Time, reason string, err error) {
+// reasonCut is the reason of an attempt whose upstream broke off the response.
+const reasonCut = "broken"
+
+// recordBroken records an attempt without a complete response. reason is
+// reasonCut, silent, deadline or caller_gone: an upstream that crashes may do so in
+// silence.
+func (a *attempt) recordBroken(now time.Time, reason string, err error) {
 	a.h.incCounter("attempts_broken." + reason)
+	aliveAt := a.aliveAt
+	if reason == reasonCut {
+		aliveAt = now
+	}
+	a.h.opts.CrashTracker.RecordUnanswered(now, aliveAt, a.fingerprint, a.upstream.Incarnation(), reason == reasonCut)
 	e := a.h.opts.CrashTracker.Evidence(now, a.fingerprint)
 	a.logEvent(now).Str("incarnation", a.upstream.Incarnation()).Str("fingerprint", a.fingerprint).Str("reason", reason).
 		Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
@@ -207,8 +220,9 @@
 		if !a.headSent {
 			a.startStream(resp)
 		}
-		a.inFlight.FirstToken(a.h.opts.Now(), a.choice.WaitMS)
-		a.h.opts.Upstreams.ReportReachable(a.h.opts.Now(), a.upstream.ID)
+		a.aliveAt = a.h.opts.Now()
+		a.inFlight.FirstToken(a.aliveAt, a.choice.WaitMS)
+		a.h.opts.Upstreams.ReportReachable(a.aliveAt, a.upstream.ID)
 		if _, err := a.w.Write(event.raw); err != nil {
 			return a.callerWriteError(err)
 		}
--- a/internal/ingress/crash_tracker.go
+++ b/internal/ingress/crash_tracker.go
@@ -9,86 +9,178 @@
 
 const (
 	// crashesToBlock is the number of upstream crashes after which a request is
-	// blocked on all VMs.
+	// blocked on all VMs. cutsToHold is the number of upstreams that broke off the
+	// response after which it is blocked for holdPeriod, since the list of upstreams
+	// shows a crash only seconds later.
 	crashesToBlock = 2
-	suspectTTL     = 10 * time.Minute
-	maxSuspects    = 4096
-	// maxEndDelay limits the time from a broken response to the observed end
-	// of the incarnation. A later end does not count as a crash.
-	maxEndDelay = 8 * time.Second
+	cutsToHold     = 4
+	holdPeriod     = 8 * time.Second
+	// SuspectTTL is how long a broken response counts against a request.
+	SuspectTTL  = 10 * time.Minute
+	maxSuspects = 4096
+	// suspectsAfterEviction leaves room, so that not each new suspect evicts another.
+	suspectsAfterEviction = maxSuspects * 3 / 4
+	// maxEndDelay limits the time from the last sign of life of an incarnation to
+	// the observed end. A later end does not count as a crash. Ends are observed
+	// late when the store was away.
+	maxEndDelay = 30 * time.Second
 	// maxIncarnations limits the incarnations recorded per request.
 	maxIncarnations = 64
 )
 
 // CrashTracker detects requests that crash the upstreams that run them. A request
-// becomes suspect when its upstream breaks off the response. The broken response
-// counts as a crash when that incarnation of the upstream is seen to have ended
-// within maxEndDelay. Requests are identified by their fingerprint. A
-// CrashTracker is safe for concurrent use.
+// becomes suspect when an upstream does not complete the response. This counts as
+// a crash when that incarnation of the upstream is seen to have ended within
+// maxEndDelay. Requests are identified by their fingerprint. A CrashTracker is
+// safe for concurrent use.
 type CrashTracker struct {
 	mu sync.Mutex
 	// suspects is keyed by fingerprint.
 	suspects map[string]*suspect
 	// ended maps an incarnation to when its end was seen.
 	ended map[string]time.Time
+	// mayBlock holds the fingerprints with enough crashes to block the request, also
+	// those whose crashes no longer count.
+	mayBlock map[string]bool
 }
 
-// suspect holds the broken responses of one request.
+// suspect holds what is known against one request.
 type suspect struct {
-	// brokenAt maps an incarnation to when it broke off the response.
-	brokenAt   map[string]time.Time
-	lastBroken time.Time
+	// broken is keyed by incarnation.
+	broken map[string]brokenResponse
+	// completedAt is when the request last ran to completion on this VM. Earlier
+	// broken responses do not count.
+	completedAt time.Time
+}
+
+// brokenResponse is a response that an incarnation did not complete.
+type brokenResponse struct {
+	// aliveAt is when the incarnation last showed a sign of life to the VM that
+	// sent the request.
+	aliveAt time.Time
+	// cut is set if the upstream broke the response off. Otherwise the time was
+	// over, the caller left, or the upstream was silent.
+	cut     bool
+	crashed bool
 }
 
 // NewCrashTracker returns a CrashTracker without suspects.
 func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{suspects: make(map[string]*suspect), ended: make(map[string]time.Time)}
+	return &CrashTracker{
+		suspects: make(map[string]*suspect),
+		ended:    make(map[string]time.Time),
+		mayBlock: make(map[string]bool),
+	}
+}
+
+// RecordUnanswered records that an incarnation did not complete its response to a
+// request of this VM. aliveAt is the last sign of life of the incarnation. cut is set
+// if the incarnation broke the response off.
+func (t *CrashTracker) RecordUnanswered(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordBroken(now, aliveAt, fingerprint, incarnation, cut)
 }
 
-// RecordBroken records that an incarnation broke off its response to the request.
+// RecordBroken records that an incarnation broke off its response to a request,
+// according to a peer.
 func (t *CrashTracker) RecordBroken(now time.Time, fingerprint, incarnation string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordBroken(now, now, fingerprint, incarnation, true)
+}
+
+func (t *CrashTracker) recordBroken(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
+	end, ended := t.ended[incarnation]
+	t.merge(now, fingerprint, incarnation, brokenResponse{aliveAt: aliveAt, cut: cut, crashed: ended && isCrash(aliveAt, end)})
+}
+
+// merge adds what is known of one response. The caller holds the lock.
+func (t *CrashTracker) merge(now time.Time, fingerprint, incarnation string, b brokenResponse) {
 	s := t.suspects[fingerprint]
 	if s == nil {
 		t.evictSuspects(now)
-		s = &suspect{brokenAt: make(map[string]time.Time)}
+		s = &suspect{broken: make(map[string]brokenResponse)}
 		t.suspects[fingerprint] = s
 	}
-	s.lastBroken = now
-	if _, known := s.brokenAt[incarnation]; !known && len(s.brokenAt) < maxIncarnations {
-		s.brokenAt[incarnation] = now
+	old, known := s.broken[incarnation]
+	if known {
+		// The first time is closest to the crash.
+		b = brokenResponse{aliveAt: old.aliveAt, cut: old.cut || b.cut, crashed: old.crashed || b.crashed}
 	}
+	if b == old || !known && len(s.broken) >= maxIncarnations {
+		return
+	}
+	s.broken[incarnation] = b
+	e := t.evidence(now, fingerprint)
+	if e.Crashes >= crashesToBlock {
+		t.mayBlock[fingerprint] = true
+	}
+}
+
+// isCrash reports whether an incarnation whose end was seen at end crashed while
+// it ran a request. An incarnation that was still alive after its entry had gone
+// has left as planned.
+func isCrash(aliveAt, end time.Time) bool {
+	delay := end.Sub(aliveAt)
+	return delay >= 0 && delay < maxEndDelay
 }
 
 // RecordEnded records the incarnations that ended according to changes of the
-// upstream list.
+// upstream list. The end of a leaving upstream is no crash, and an upstream whose
+// entry has expired in an outage of the store may be alive.
 func (t *CrashTracker) RecordEnded(now time.Time, changes []roster.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	ended := make(map[string]bool)
 	for _, c := range changes {
-		if c.EndedIncarnation != "" {
+		if c.EndedIncarnation != "" && c.Kind != roster.Expired && !c.Upstream.Leaving {
 			t.ended[c.EndedIncarnation] = now
+			ended[c.EndedIncarnation] = true
+		}
+	}
+	if len(ended) == 0 {
+		return
+	}
+	for fingerprint, s := range t.suspects {
+		for incarnation, b := range s.broken {
+			if ended[incarnation] && isCrash(b.aliveAt, now) {
+				t.merge(now, fingerprint, incarnation, brokenResponse{crashed: true})
+			}
 		}
 	}
 	for incarnation, at := range t.ended {
-		if now.Sub(at) > suspectTTL {
+		if now.Sub(at) > SuspectTTL {
 			delete(t.ended, incarnation)
 		}
 	}
 }
 
-// IsBlocked reports whether the request has crashed so many upstreams that it is blocked.
+// RecordCompleted records that an upstream completed its response to the request.
+// What was known against the request before does not count any more on this VM.
+func (t *CrashTracker) RecordCompleted(now time.Time, fingerprint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.suspects[fingerprint]; s != nil {
+		s.completedAt = now
+	}
+}
+
+// IsBlocked reports whether the request must not be sent: it has crashed too many
+// upstreams, or several have broken off their responses to it lately.
 func (t *CrashTracker) IsBlocked(now time.Time, fingerprint string) bool {
-	return t.Evidence(now, fingerprint).Crashes >= crashesToBlock
+	e := t.Evidence(now, fingerprint)
+	return e.Crashes >= crashesToBlock || e.CutLately >= cutsToHold
 }
 
 // Evidence is what is known against a request.
 type Evidence struct {
-	// Broken is the number of incarnations that broke off their response to the
-	// request, Crashes the number of those that are known to have crashed.
-	Broken  int `json:"broken"`
-	Crashes int `json:"crashes"`
+	// Broken is the number of incarnations that did not complete their response to
+	// the request, CutLately the number of those that broke it off within holdPeriod,
+	// and Crashes the number of those that are known to have crashed.
+	Broken    int `json:"broken"`
+	CutLately int `json:"cut_lately"`
+	Crashes   int `json:"crashes"`
 }
 
 // Evidence returns what is known against the request.
@@ -100,13 +192,21 @@
 
 // evidence implements Evidence. The caller holds the lock.
 func (t *CrashTracker) evidence(now time.Time, fingerprint string) Evidence {
+	var e Evidence
 	s := t.suspects[fingerprint]
-	if s == nil || now.Sub(s.lastBroken) > suspectTTL {
-		return Evidence{}
+	if s == nil {
+		return e
 	}
-	e := Evidence{Broken: len(s.brokenAt)}
-	for incarnation, at := range s.brokenAt {
-		if end, ended := t.ended[incarnation]; ended && end.Sub(at) < maxEndDelay {
+	for _, b := range s.broken {
+		age := now.Sub(b.aliveAt)
+		if age > SuspectTTL || !b.aliveAt.After(s.completedAt) {
+			continue
+		}
+		e.Broken++
+		if b.cut && age < holdPeriod {
+			e.CutLately++
+		}
+		if b.crashed {
 			e.Crashes++
 		}
 	}
@@ -126,16 +226,22 @@
 	return entries
 }
 
-// evictSuspects makes room for a new suspect if the limit is reached: it deletes
-// expired suspects, and arbitrary ones while the limit is still reached. The
-// caller holds the lock.
+// evictSuspects makes room for new suspects if the limit is reached: it deletes
+// those that no longer count, then arbitrary ones, blocked requests last. The caller
+// holds the lock.
 func (t *CrashTracker) evictSuspects(now time.Time) {
 	if len(t.suspects) < maxSuspects {
 		return
 	}
-	for fingerprint, s := range t.suspects {
-		if now.Sub(s.lastBroken) > suspectTTL || len(t.suspects) >= maxSuspects {
-			delete(t.suspects, fingerprint)
+	deleteWhere := func(condition func(fingerprint string) bool) {
+		for fingerprint := range t.suspects {
+			if len(t.suspects) > suspectsAfterEviction && condition(fingerprint) {
+				delete(t.suspects, fingerprint)
+				delete(t.mayBlock, fingerprint)
+			}
 		}
 	}
+	deleteWhere(func(fingerprint string) bool { return t.evidence(now, fingerprint).Broken == 0 })
+	deleteWhere(func(fingerprint string) bool { return !t.mayBlock[fingerprint] })
+	deleteWhere(func(string) bool { return true })
 }
--- /dev/null
+++ b/internal/ingress/crash_tracker_test.go
@@ -0,0 +1,102 @@
+package ingress_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+// end returns the change of an upstream list in which an upstream has ended.
+func end(id string, kind roster.ChangeKind, leaving bool) []roster.Change {
+	u := roster.Upstream{ID: id, Born: 1, Leaving: leaving}
+	return []roster.Change{{Upstream: u, Kind: kind, EndedIncarnation: u.Incarnation()}}
+}
+
+// crash lets the request run through a VM and crash an upstream.
+func crash(t *ingress.CrashTracker, now time.Time, fingerprint, id string) {
+	t.RecordUnanswered(now, now, fingerprint, id+"@1", true)
+	t.RecordEnded(now.Add(time.Second), end(id, roster.Removed, false))
+}
+
+// Guards against BUDGET: crashes in silence and ends that were seen late did not
+// count, while planned ends and entries that had only expired did.
+func TestCrashIsToldFromOtherEnds(t *testing.T) {
+	tests := map[string]struct {
+		aliveAt, endSeen time.Duration
+		cut              bool
+		kind             roster.ChangeKind
+		leaving          bool
+		want             int
+	}{
+		"broken off, end seen":                {0, 4 * time.Second, true, roster.Removed, false, 1},
+		"silent, end seen":                    {0, 4 * time.Second, false, roster.Removed, false, 1},
+		"restarted under its ID":              {0, time.Second, true, roster.Restarted, false, 1},
+		"end seen after an outage":            {0, 15 * time.Second, true, roster.Removed, false, 1},
+		"end seen much later":                 {0, time.Minute, true, roster.Removed, false, 0},
+		"alive after its entry had gone":      {2 * time.Second, time.Second, true, roster.Removed, false, 0},
+		"left as planned":                     {0, time.Second, true, roster.Removed, true, 0},
+		"entry expired in the store's outage": {0, time.Second, true, roster.Expired, false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			aliveAt, endSeen := start.Add(test.aliveAt), start.Add(test.endSeen)
+			before, after := ingress.NewCrashTracker(), ingress.NewCrashTracker()
+			before.RecordEnded(endSeen, end("a", test.kind, test.leaving))
+			before.RecordUnanswered(endSeen, aliveAt, "body", "a@1", test.cut)
+			after.RecordUnanswered(aliveAt, aliveAt, "body", "a@1", test.cut)
+			after.RecordEnded(endSeen, end("a", test.kind, test.leaving))
+			got := []int{before.Evidence(endSeen, "body").Crashes, after.Evidence(endSeen, "body").Crashes}
+			if diff := cmp.Diff([]int{test.want, test.want}, got); diff != "" {
+				t.Errorf("crashes with the end recorded before and after the response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against BUDGET: a request could crash many upstreams in the seconds until the
+// list of upstreams shows the first end. Calls that end for other reasons must not
+// block it, and neither must crashes before it ran to completion.
+func TestRequestIsHeldBeforeEndsAreSeen(t *testing.T) {
+	tests := map[string]struct {
+		cut, completed bool
+		after          time.Duration
+		want           bool
+	}{
+		"four upstreams broke off":              {true, false, time.Second, true},
+		"four upstreams broke off long ago":     {true, false, 10 * time.Second, false},
+		"four callers left":                     {false, false, time.Second, false},
+		"four upstreams broke off, then it ran": {true, true, time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := ingress.NewCrashTracker()
+			for i := range 4 {
+				s.RecordUnanswered(start, start, "body", fmt.Sprintf("i-%d@1", i), test.cut)
+			}
+			if test.completed {
+				s.RecordCompleted(start.Add(time.Millisecond), "body")
+			}
+			if got := s.IsBlocked(start.Add(test.after), "body"); got != test.want {
+				t.Errorf("blocked: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Suspects beyond the limit must not push out the requests that are blocked.
+func TestBlockedRequestSurvivesManySuspects(t *testing.T) {
+	s := ingress.NewCrashTracker()
+	crash(s, start, "body", "a")
+	crash(s, start, "body", "b")
+	for i := range 6000 {
+		s.RecordUnanswered(start, start, fmt.Sprint(i), "c@1", true)
+	}
+	if !s.IsBlocked(start.Add(time.Second), "body") {
+		t.Error("the request is no longer blocked")
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -135,6 +135,7 @@
 // recordSuccess updates the metrics and logs a request that was answered.
 func (j *job) recordSuccess() {
 	now := j.h.opts.Now()
+	j.h.opts.CrashTracker.RecordCompleted(now, j.fingerprint)
 	metrics.GetOrRegisterHistogram("answer_us."+j.route.Kind.String(), j.h.opts.Metrics, metrics.NewExpDecaySample(latencySampleSize, latencySampleAlpha)).
 		Update(now.Sub(j.startedAt).Microseconds())
 	j.h.incCounter("answers")
@@ -163,6 +164,9 @@
 	case codeRejected:
 		return j.rejected < maxRejections && j.h.opts.RetryBudget.Allow(now, j.service.Name)
 	}
+	if j.h.opts.CrashTracker.IsBlocked(now, j.fingerprint) {
+		return false
+	}
 	return j.mayRunAgain() && j.h.opts.RetryBudget.Allow(now, j.service.Name)
 }
 
