internal/ingress, internal/beacon, internal/entryvm: all VMs learn of crashing requests

Cause: a broken response was announced in one beacon, to at most 12 peers, and passed on by nobody. Of 16 VMs seven knew less than two of four responses, and all seven sent the request on; a VM that started later was told nothing. Change: a crash is a report that each VM puts into its next two beacons when it learns it, and the blocked requests are repeated in turn in every beacon, so that late VMs and lost datagrams are made good. Ages, not times, are sent. Reports have a key of their own; an older build ignores it and still gets the suspicions that it knows.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -27,6 +27,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
@@ -83,15 +84,19 @@
 	Loading   []string `json:"loading,omitempty" cbor:"15,keyasint,omitempty"`
 	// Changing holds the announcements of all VMs' engine changes that the sender
 	// has received.
-	Changing  []roster.Announcement    `json:"changing,omitempty" cbor:"16,keyasint,omitempty"`
-	Updated   []roster.ObservedVersion `json:"updated,omitempty" cbor:"17,keyasint,omitempty"`
-	Avoided   []string                 `json:"avoided,omitempty" cbor:"18,keyasint,omitempty"`
-	Suspected []Suspicion              `json:"suspected,omitempty" cbor:"19,keyasint,omitempty"`
+	Changing []roster.Announcement    `json:"changing,omitempty" cbor:"16,keyasint,omitempty"`
+	Updated  []roster.ObservedVersion `json:"updated,omitempty" cbor:"17,keyasint,omitempty"`
+	Avoided  []string                 `json:"avoided,omitempty" cbor:"18,keyasint,omitempty"`
+	// Suspected holds the responses broken off since the last beacon.
+	Suspected []Suspicion `json:"suspected,omitempty" cbor:"19,keyasint,omitempty"`
 	// Desired holds the desired versions with their ages: a VM that starts can't
 	// find out from the store for how long they have been desired.
 	Desired []roster.DesiredAge `json:"named,omitempty" cbor:"20,keyasint,omitempty"`
 	// Peers holds addresses of other VMs, in every peersEvery-th beacon.
 	Peers []string `json:"peers,omitempty" cbor:"21,keyasint,omitempty"`
+	// Suspects holds news of requests that may crash upstreams, from any VM, and
+	// repeats some of what is known of those that do.
+	Suspects []ingress.SuspectReport `json:"suspects,omitempty" cbor:"22,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -61,7 +61,7 @@
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.lastChangeRevisions(), Loads: make(map[string][3]int),
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
-		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now),
+		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), Suspects: v.crashTracker.Reports(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -126,6 +126,9 @@
 		v.log.Info().Str("peer", m.Name).Str("fingerprint", s.Fingerprint).Str("incarnation", s.Incarnation).Msg("suspicion received")
 		v.crashTracker.RecordBroken(now, s.Fingerprint, s.Incarnation)
 	}
+	for _, r := range m.Suspects {
+		v.mergeSuspect(now, m.Name, r)
+	}
 	if m.Leading > 0 {
 		v.rollout.RecordProgress(now, m.Loading...)
 		v.mu.Lock()
--- a/internal/ingress/crash_tracker.go
+++ b/internal/ingress/crash_tracker.go
@@ -31,8 +31,8 @@
 // CrashTracker detects requests that crash the upstreams that run them. A request
 // becomes suspect when an upstream does not complete the response. This counts as
 // a crash when that incarnation of the upstream is seen to have ended within
-// maxEndDelay. Requests are identified by their fingerprint. A CrashTracker is
-// safe for concurrent use.
+// maxEndDelay. Requests are identified by their fingerprint. VMs exchange what
+// they know as SuspectReports. A CrashTracker is safe for concurrent use.
 type CrashTracker struct {
 	mu sync.Mutex
 	// suspects is keyed by fingerprint.
@@ -42,6 +42,13 @@
 	// mayBlock holds the fingerprints with enough crashes to block the request, also
 	// those whose crashes no longer count.
 	mayBlock map[string]bool
+	// fresh holds the fingerprints of suspects that peers are still to be told
+	// about, in order, and roundsLeft in how many reports.
+	fresh      []string
+	roundsLeft map[string]int
+	// repeatAfter is the fingerprint of the blocked request that was last repeated
+	// to peers.
+	repeatAfter string
 }
 
 // suspect holds what is known against one request.
@@ -51,6 +58,8 @@
 	// completedAt is when the request last ran to completion on this VM. Earlier
 	// broken responses do not count.
 	completedAt time.Time
+	// own reports whether the request has run through this VM.
+	own bool
 }
 
 // brokenResponse is a response that an incarnation did not complete.
@@ -67,9 +76,10 @@
 // NewCrashTracker returns a CrashTracker without suspects.
 func NewCrashTracker() *CrashTracker {
 	return &CrashTracker{
-		suspects: make(map[string]*suspect),
-		ended:    make(map[string]time.Time),
-		mayBlock: make(map[string]bool),
+		suspects:   make(map[string]*suspect),
+		ended:      make(map[string]time.Time),
+		mayBlock:   make(map[string]bool),
+		roundsLeft: make(map[string]int),
 	}
 }
 
@@ -80,6 +90,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordBroken(now, aliveAt, fingerprint, incarnation, cut)
+	t.suspects[fingerprint].own = true
 }
 
 // RecordBroken records that an incarnation broke off its response to a request,
@@ -116,6 +127,9 @@
 	if e.Crashes >= crashesToBlock {
 		t.mayBlock[fingerprint] = true
 	}
+	if b.crashed || b.cut && e.CutLately > 1 {
+		t.markFresh(fingerprint)
+	}
 }
 
 // isCrash reports whether an incarnation whose end was seen at end crashed while
@@ -238,6 +252,7 @@
 			if len(t.suspects) > suspectsAfterEviction && condition(fingerprint) {
 				delete(t.suspects, fingerprint)
 				delete(t.mayBlock, fingerprint)
+				delete(t.roundsLeft, fingerprint)
 			}
 		}
 	}
--- a/internal/ingress/crash_tracker_test.go
+++ b/internal/ingress/crash_tracker_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
@@ -100,3 +102,121 @@
 		t.Error("the request is no longer blocked")
 	}
 }
+
+// fleet is a number of VMs that exchange beacons in rounds, each with its tracker.
+type fleet struct {
+	trackers []*ingress.CrashTracker
+	sends    []beacon.RoundRobin[int]
+	rng      *rand.Rand
+}
+
+func newFleet(vms int) *fleet {
+	f := &fleet{sends: make([]beacon.RoundRobin[int], vms), rng: rand.New(rand.NewPCG(1, 2))}
+	for range vms {
+		f.trackers = append(f.trackers, ingress.NewCrashTracker())
+	}
+	return f
+}
+
+// round lets each VM send a beacon, of which loss is lost. VMs are in four data centres.
+func (f *fleet) round(now time.Time, loss float64) {
+	for i, t := range f.trackers {
+		reports := t.Reports(now)
+		var near, far []int
+		for j := range f.trackers {
+			switch {
+			case j == i:
+			case j%4 == i%4:
+				near = append(near, j)
+			default:
+				far = append(far, j)
+			}
+		}
+		for _, to := range f.sends[i].Next(near, far, f.rng.Shuffle) {
+			if f.rng.Float64() < loss {
+				continue
+			}
+			for _, r := range reports {
+				f.trackers[to].Merge(now, r)
+			}
+		}
+	}
+}
+
+// blocked returns the number of VMs that block the request.
+func (f *fleet) blocked(now time.Time, fingerprint string) int {
+	n := 0
+	for _, t := range f.trackers {
+		if t.IsBlocked(now, fingerprint) {
+			n++
+		}
+	}
+	return n
+}
+
+const beaconInterval = 150 * time.Millisecond
+
+// Guards against BUDGET: only the dozen VMs that got one certain beacon learnt that a
+// request had crashed an upstream, and those that started later never did.
+func TestCrashesSpreadToAllVMs(t *testing.T) {
+	tests := map[string]struct{ vms, innocent int }{
+		"9 VMs, mass crash":  {9, 30},
+		"65 VMs":             {65, 0},
+		"84 VMs, mass crash": {84, 252},
+		"910 VMs":            {910, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(test.vms)
+			vms := test.vms
+			now := start
+			for i := range test.innocent {
+				crash(f.trackers[i%vms], now, fmt.Sprintf("innocent-%d", i), fmt.Sprintf("m%d", i%3))
+			}
+			crash(f.trackers[0], now, "body", "a")
+			crash(f.trackers[vms/2], now, "body", "b")
+			rounds := 0
+			for ; f.blocked(now, "body") < vms && rounds < 20; rounds++ {
+				now = now.Add(beaconInterval)
+				f.round(now, 0.03)
+			}
+			if got := f.blocked(now, "body"); got < vms {
+				t.Fatalf("%d of %d VMs block the request after %d rounds", got, vms, rounds)
+			}
+			t.Logf("%d VMs block the request after %d rounds", vms, rounds)
+			for range 30 {
+				now = now.Add(beaconInterval)
+				f.round(now, 0.03)
+			}
+			f.trackers[vms-1] = ingress.NewCrashTracker()
+			for range 10 {
+				now = now.Add(beaconInterval)
+				f.round(now, 0.03)
+			}
+			if got := f.blocked(now, "body"); got < vms {
+				t.Error("a VM that started later does not block the request")
+			}
+			for i := range f.trackers {
+				if n := len(f.trackers[i].Reports(now)); n > 1 {
+					t.Fatalf("VM %d still sends %d reports", i, n)
+				}
+			}
+		})
+	}
+}
+
+// The age of a crash must not start anew when VMs pass it on, or a request would be
+// blocked for ever.
+func TestPassedOnCrashesExpire(t *testing.T) {
+	f := newFleet(12)
+	crash(f.trackers[0], start, "body", "a")
+	crash(f.trackers[0], start, "body", "b")
+	now := start
+	for now.Before(start.Add(ingress.SuspectTTL + 5*time.Second)) {
+		now = now.Add(beaconInterval)
+		f.round(now, 0)
+	}
+	if got := f.blocked(now, "body"); got != 0 {
+		t.Errorf("%d VMs still block the request", got)
+	}
+}
--- /dev/null
+++ b/internal/ingress/suspect_report.go
@@ -0,0 +1,173 @@
+package ingress
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// SuspectReport is what a VM knows against a request. Its CBOR keys are part of
+// the protocol between VMs, its JSON fields part of what is kept in the store.
+type SuspectReport struct {
+	Fingerprint string         `json:"fingerprint" cbor:"1,keyasint"`
+	Broken      []BrokenReport `json:"broken" cbor:"2,keyasint"`
+}
+
+// BrokenReport tells that an incarnation did not complete a response.
+type BrokenReport struct {
+	Incarnation string `json:"incarnation" cbor:"1,keyasint"`
+	// AgeMS is the time since the incarnation's last sign of life.
+	AgeMS   int64 `json:"age_ms" cbor:"2,keyasint"`
+	Crashed bool  `json:"crashed,omitempty" cbor:"3,keyasint,omitempty"`
+	// Cut is set if the incarnation broke the response off.
+	Cut bool `json:"cut,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Older returns the report after some more time.
+func (r SuspectReport) Older(by time.Duration) SuspectReport {
+	r.Broken = slices.Clone(r.Broken)
+	for i := range r.Broken {
+		r.Broken[i].AgeMS += by.Milliseconds()
+	}
+	return r
+}
+
+const (
+	// reportRounds is the number of beacons that carry news of a suspect. Each VM
+	// passes news on, so two beacons to a dozen peers reach the whole fleet.
+	reportRounds = 2
+	// maxReports limits the reports of one call of Reports. repeatedReports of them
+	// are repeated reports of blocked requests, for VMs that started later or missed
+	// the news.
+	maxReports      = 32
+	repeatedReports = 4
+	// maxReported limits the responses in a report.
+	maxReported = 4
+)
+
+// markFresh makes the next reports include a suspect. The caller holds the lock.
+func (t *CrashTracker) markFresh(fingerprint string) {
+	if t.roundsLeft[fingerprint] == 0 {
+		t.fresh = append(t.fresh, fingerprint)
+	}
+	t.roundsLeft[fingerprint] = reportRounds
+}
+
+// Reports returns what the next beacon tells peers: news first, then some of the
+// blocked requests, in turn.
+func (t *CrashTracker) Reports(now time.Time) []SuspectReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// Those with the most evidence first: a mass crash makes many suspects.
+	slices.SortStableFunc(t.fresh, func(a, b string) int {
+		return cmp.Compare(t.evidence(now, b).Crashes, t.evidence(now, a).Crashes)
+	})
+	var list []SuspectReport
+	var later []string
+	for i, fingerprint := range t.fresh {
+		if len(list) == maxReports-repeatedReports {
+			later = append(later, t.fresh[i:]...)
+			break
+		}
+		if t.suspects[fingerprint] == nil {
+			continue
+		}
+		list = append(list, t.report(now, fingerprint))
+		if t.roundsLeft[fingerprint]--; t.roundsLeft[fingerprint] > 0 {
+			later = append(later, fingerprint)
+		} else {
+			delete(t.roundsLeft, fingerprint)
+		}
+	}
+	t.fresh = later
+	for _, fingerprint := range t.nextBlocked(now) {
+		list = append(list, t.report(now, fingerprint))
+	}
+	return list
+}
+
+// nextBlocked returns the blocked requests whose turn it is to be repeated. The
+// caller holds the lock.
+func (t *CrashTracker) nextBlocked(now time.Time) []string {
+	blocked := t.blocked(now)
+	if len(blocked) <= repeatedReports {
+		return blocked
+	}
+	first, found := slices.BinarySearch(blocked, t.repeatAfter)
+	if found {
+		first++
+	}
+	next := make([]string, repeatedReports)
+	for i := range next {
+		next[i] = blocked[(first+i)%len(blocked)]
+	}
+	t.repeatAfter = next[repeatedReports-1]
+	return next
+}
+
+// blocked returns the fingerprints of the requests that have crashed too many
+// upstreams, in order. The caller holds the lock.
+func (t *CrashTracker) blocked(now time.Time) []string {
+	var list []string
+	for fingerprint := range t.mayBlock {
+		if t.evidence(now, fingerprint).Crashes >= crashesToBlock {
+			list = append(list, fingerprint)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// OwnBlocked returns the reports of blocked requests that have run through this
+// VM, for the store.
+func (t *CrashTracker) OwnBlocked(now time.Time) []SuspectReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []SuspectReport
+	for _, fingerprint := range t.blocked(now) {
+		if t.suspects[fingerprint].own {
+			list = append(list, t.report(now, fingerprint))
+		}
+	}
+	return list
+}
+
+// report returns the report of a suspect with its crashes first and the latest
+// responses next. The caller holds the lock.
+func (t *CrashTracker) report(now time.Time, fingerprint string) SuspectReport {
+	r := SuspectReport{Fingerprint: fingerprint}
+	broken := t.suspects[fingerprint].broken
+	for _, incarnation := range slices.Sorted(maps.Keys(broken)) {
+		b := broken[incarnation]
+		r.Broken = append(r.Broken, BrokenReport{Incarnation: incarnation, AgeMS: now.Sub(b.aliveAt).Milliseconds(), Crashed: b.crashed, Cut: b.cut})
+	}
+	slices.SortStableFunc(r.Broken, func(a, b BrokenReport) int {
+		if a.Crashed != b.Crashed {
+			if a.Crashed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.AgeMS, b.AgeMS)
+	})
+	r.Broken = r.Broken[:min(maxReported, len(r.Broken))]
+	return r
+}
+
+// Merge adds a report of a peer or of the store. It reports whether the report
+// told anything new, and passes news on with the next reports.
+func (t *CrashTracker) Merge(now time.Time, r SuspectReport) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.evidence(now, r.Fingerprint)
+	for _, b := range r.Broken {
+		age := time.Duration(b.AgeMS) * time.Millisecond
+		if age < 0 || age > SuspectTTL {
+			continue
+		}
+		t.merge(now, r.Fingerprint, b.Incarnation, brokenResponse{aliveAt: now.Add(-age), cut: b.Cut, crashed: b.Crashed})
+	}
+	after := t.evidence(now, r.Fingerprint)
+	return after.Broken > before.Broken || after.Crashes > before.Crashes
+}
