platform, internal/entryvm: crashing requests outlive a restart of all VMs

Callers saw: after a loss of all VMs at once a request that had crashed three upstreams crashed more (BUDGET). Cause: what a VM knew of crashes was only in its memory and its peers'. A VM that starts reads the list once.

--- a/internal/entryvm/suspects.go
+++ b/internal/entryvm/suspects.go
@@ -1,13 +1,22 @@
 package entryvm
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
+	"github.com/hibiscuscove/hibiscuscove/platform"
 )
 
+// suspectsInterval is the interval between two looks for suspects to store or to
+// delete.
+const suspectsInterval = 300 * time.Millisecond
+
 // mergeSuspect adds what a peer or the store reports of a request, and logs news.
 func (v *VM) mergeSuspect(now time.Time, source string, r ingress.SuspectReport) {
 	if !v.crashTracker.Merge(now, r) {
@@ -17,3 +26,63 @@
 	e := v.crashTracker.Evidence(now, r.Fingerprint)
 	v.log.Info().Str("source", source).Str("fingerprint", r.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request learned")
 }
+
+// restoreSuspects reads the stored suspects: after a restart of all VMs no peer
+// knows them.
+func (v *VM) restoreSuspects(ctx context.Context) {
+	for ctx.Err() == nil {
+		page, err := v.store.Suspects().List(ctx)
+		if err != nil {
+			wait.For(ctx, registerBackoff)
+			continue
+		}
+		now := v.opts.Now()
+		for _, item := range page.Items {
+			if item.Problem != "" {
+				v.log.Warn().Str("object", item.Name).Str("problem", item.Problem).Msg("stored suspect not usable")
+				continue
+			}
+			age := max(0, now.Sub(time.UnixMilli(item.Value.WrittenMS)))
+			v.mergeSuspect(now, "store", item.Value.Older(age))
+			if age > 2*ingress.SuspectTTL {
+				// Its writer no longer exists.
+				v.deleteSuspect(ctx, item.Name)
+			}
+		}
+		return
+	}
+}
+
+// storeSuspects stores the blocked requests that have run through this VM, and
+// deletes them when they have expired.
+func (v *VM) storeSuspects(ctx context.Context) {
+	stored := make(map[string]time.Time)
+	for wait.For(ctx, suspectsInterval) {
+		now := v.opts.Now()
+		for _, r := range v.crashTracker.OwnBlocked(now) {
+			if _, known := stored[r.Fingerprint]; known {
+				continue
+			}
+			if err := v.store.AddSuspect(ctx, platform.StoredSuspect{SuspectReport: r, WrittenMS: now.UnixMilli()}); err != nil {
+				v.log.Warn().Str("fingerprint", r.Fingerprint).Err(err).Msg("suspect request not stored")
+				wait.For(ctx, registerBackoff)
+				break
+			}
+			stored[r.Fingerprint] = now
+			v.log.Info().Str("fingerprint", r.Fingerprint).Msg("suspect request stored")
+		}
+		for fingerprint, at := range stored {
+			if now.Sub(at) > ingress.SuspectTTL {
+				delete(stored, fingerprint)
+				v.deleteSuspect(ctx, fingerprint)
+			}
+		}
+	}
+}
+
+// deleteSuspect deletes a stored suspect. Another VM may have done so.
+func (v *VM) deleteSuspect(ctx context.Context, fingerprint string) {
+	if err := v.store.DeleteSuspect(ctx, fingerprint); err != nil && !errors.Is(err, registry.ErrNotFound) {
+		v.log.Warn().Str("fingerprint", fingerprint).Err(err).Msg("stored suspect not deleted")
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -326,7 +326,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.restoreDesiredAges, v.logSummaries,
+		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries,
 	} {
 		wg.Go(func() { task(taskCtx) })
 	}
