internal/quarantine, internal/node: quarantined requests outlive a restart of all nodes

There crashes are facts of the membership, which new nodes get with the whole state, and silent crashes are probed for; but after a restart of all nodes nobody knew a quarantined request, and it crashed two more incarnations. Change: nodes that attributed a crash archive the request in one object of the object API (quarantine/requests, conditional writes, an hour, 1,000 requests at most). A node reads it when it joins, and again until that works.

--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -143,3 +143,42 @@
 		}
 	}
 }
+
+// Guards against BUDGET: after a restart of all nodes nobody knew the requests that
+// crash upstreams.
+func TestCrashingRequestIsQuarantinedAfterRestartOfAllNodes(t *testing.T) {
+	t.Parallel()
+	opts := fleetOptions{nodes: 3, dep: standin.DeploymentOptions{
+		Engines: 6,
+		Engine:  modelengine.Options{TokenInterval: 20 * time.Millisecond},
+	}}
+	f := newFleet(t, opts)
+	crashes := f.countCrashes(crashingText)
+	quarantined := func(n *testNode) bool {
+		return strings.Contains(fmt.Sprint(f.completeBody(n, crashingBody(0)).errors), "request_quarantined")
+	}
+	f.eventually("the request is quarantined", func() bool { return quarantined(f.nodes[0]) })
+	time.Sleep(2 * time.Second)
+	f.stopAll()
+	f.nodes = nil
+	for i := range opts.nodes {
+		f.start(i+opts.nodes, opts)
+	}
+	f.eventually("every node is ready", func() bool {
+		for _, n := range f.nodes {
+			if !n.Ready() || !f.seesAllLive(n, len(f.nodes)) {
+				return false
+			}
+		}
+		return true
+	})
+	before := crashes()
+	for _, n := range f.nodes {
+		if !quarantined(n) {
+			t.Errorf("%s has not quarantined the request", n.settings.Name)
+		}
+	}
+	if after := crashes(); after != before {
+		t.Errorf("the request crashed %d incarnations before the restart and %d after it", before, after-before)
+	}
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -118,6 +118,9 @@
 
 // AnnounceCrash implements request.Fleet. It gossips a crash as a fact.
 func (n *Node) AnnounceCrash(now time.Time, fingerprint string, crash quarantine.Crash) {
+	n.mu.Lock()
+	n.ownCrashes[fingerprint] = true
+	n.mu.Unlock()
 	raw, err := json.Marshal(crashFact{Fingerprint: fingerprint, Crash: crash})
 	if err != nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,9 @@
 	// leavingVMs holds, by address, whether a VM is leaving, for each VM with a fact
 	// of kind factLeavingVM.
 	leavingVMs map[string]bool
+	// ownCrashes holds the fingerprints of the requests to which this node has
+	// attributed a crash and that may still have to be archived.
+	ownCrashes map[string]bool
 }
 
 // fetchRequest asks for the configuration of a generation, or a newer one, from a
@@ -129,6 +132,7 @@
 		fetchRequests: make(chan fetchRequest, 1),
 		gates:         make(map[string]*limit.Gate),
 		leavingVMs:    make(map[string]bool),
+		ownCrashes:    make(map[string]bool),
 	}
 	n.createClients()
 	n.buildFleet()
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -44,7 +44,7 @@
 // runTasks joins the fleet, then runs the background tasks until ctx ends, each in a
 // goroutine.
 func (n *Node) runTasks(ctx context.Context) {
-	n.join(ctx)
+	quarantineLoaded := n.join(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.agent.Run(ctx) })
 	wg.Go(func() { n.watcher.Run(ctx) })
@@ -53,13 +53,15 @@
 	wg.Go(func() { n.watchVMs(ctx) })
 	wg.Go(func() { n.retryPeers(ctx) })
 	wg.Go(func() { n.adjustGates(ctx) })
+	wg.Go(func() { n.archiveQuarantine(ctx, quarantineLoaded) })
 	wg.Wait()
 }
 
 // join contacts the nodes of the settings and of the VM list and merges their
 // state. It loads the configuration from a node that has a newer one, or
 // else from the platform. The node is ready afterwards, even if nothing responded.
-func (n *Node) join(ctx context.Context) {
+// join reports whether the archived quarantine was loaded.
+func (n *Node) join(ctx context.Context) (quarantineLoaded bool) {
 	addresses := slices.Clone(n.settings.Peers)
 	if n.opts.Lister != nil {
 		if list, err := n.opts.Lister.List(ctx); err == nil {
@@ -77,11 +79,19 @@
 	if n.configuration.Generation() == 0 {
 		n.loadFromPlatform(ctx)
 	}
+	loadCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := n.loadQuarantine(loadCtx); err != nil {
+		n.log.Warn().Err(err).Msg("archived quarantine not loaded, trying again")
+	} else {
+		quarantineLoaded = true
+	}
 	n.ready.Store(true)
 	if n.configuration.Generation() > 0 {
 		n.members.MarkServing()
 	}
 	n.log.Info().Int("peers", responded).Uint64("generation", n.configuration.Generation()).Msg("node has joined")
+	return quarantineLoaded
 }
 
 // entryAddresses returns the addresses of the live entry VMs in a list.
