internal/registry: an item that was created again is not deleted at peers

Callers saw nothing that was traced to it. A peer that had the new item already got the deletion alone, and lost the upstream until its next change. Change: creating an item drops its earlier deletions from those kept for peers. Evidence: TestRecreatedItemIsNotDeletedAtPeers failed (the deletion of a at revision 5 in the changes since 4) and passes.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -336,6 +337,9 @@
 	for _, item := range page.Items {
 		if !item.Deleted {
 			f.items[item.Name] = item
+			// A peer that has the new item must not get the earlier deletion, whose
+			// revision is not known exactly.
+			f.deleted = slices.DeleteFunc(f.deleted, func(d Item[T]) bool { return d.Name == item.Name })
 			continue
 		}
 		delete(f.items, item.Name)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -232,6 +232,17 @@
 	}
 }
 
+// Guards against upstreams that vanish from one VM: an item that was deleted and
+// created again between two watches was deleted at a peer that already had it.
+func TestRecreatedItemIsNotDeletedAtPeers(t *testing.T) {
+	_, _, f := follow(t, time.Now, 2, step{page: page{Revision: 2, Items: []item{{Name: "a", Revision: 2}}}},
+		step{page: page{Revision: 5, Items: []item{{Name: "a", Revision: 2, Deleted: true}, {Name: "a", Revision: 4}, {Name: "b", Revision: 5}}}})
+	want := page{Revision: 5, Since: 4, Items: []item{{Name: "b", Revision: 5}}}
+	if diff := cmp.Diff(want, f.Snapshot(4)); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
 // TestReplacedWatcherIsWell checks that a VM whose watch failed becomes healthy
 // again when other VMs watch in its place, although it makes no more calls.
 func TestReplacedWatcherIsWell(t *testing.T) {
