internal/rollout: a takeover without a response still waits for the handover

Callers saw nothing that was traced to it. The previous holder's orders were then 1.8 s old rather than the 3.3 s that the handover asks for. Change: the lease says how long its holder still has to wait; whoever takes it again under the same name waits that long, from the moment of reading. Evidence: TestTakeoverWithoutResponseStillWaits failed in both cases (orders allowed at 0 s) and passes.

--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -23,6 +23,12 @@
 	// Renewal grows with each renewal, so that each write changes the object.
 	Renewal  uint64 `json:"renewal"`
 	Released bool   `json:"released"`
+	// OrdersInMS and HandoverInMS are the times from the write until the holder may
+	// send its first order, and its first one to an engine that the previous holder
+	// was changing. A holder that does not know that its write took effect, or that
+	// restarts, still has to wait.
+	OrdersInMS   int64 `json:"orders_in_ms,omitempty"`
+	HandoverInMS int64 `json:"handover_in_ms,omitempty"`
 	// Desired holds the desired versions that the writer knows, with their ages
 	// at WrittenMS, the writer's time of day in Unix milliseconds. VMs that start
 	// while no other VM runs read them.
@@ -214,8 +220,10 @@
 	if !sameHolder && !free && unchanged < leaseTerm+handoverMargin {
 		return nil
 	}
-	ordersFrom, handoverEnd := now, now
+	ordersFrom := now.Add(time.Duration(found.OrdersInMS) * time.Millisecond)
+	handoverEnd := now.Add(time.Duration(found.HandoverInMS) * time.Millisecond)
 	if !sameHolder {
+		ordersFrom = now
 		// The previous holder may have sent an order until just now. One that
 		// released the lease or stepped down has announced the engines to which
 		// it sent orders, so that only those have to wait.
@@ -235,6 +243,13 @@
 // the lease was not held before.
 func (e *Elector) writeLease(ctx context.Context, l Lease, ordersFrom, handoverEnd time.Time) error {
 	now, boot := e.opts.Clock.Now(), e.opts.Clock.Boot()
+	e.mu.Lock()
+	if e.held {
+		ordersFrom, handoverEnd = e.ordersFrom, e.handoverEnd
+	}
+	e.mu.Unlock()
+	l.OrdersInMS = max(0, ordersFrom.Sub(now)).Milliseconds()
+	l.HandoverInMS = max(0, handoverEnd.Sub(now)).Milliseconds()
 	l.Released = false
 	l.Desired, l.WrittenMS = e.opts.DesiredAges(now), now.UnixMilli()
 	written, err := e.opts.Store.Write(ctx, l)
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -243,3 +243,40 @@
 		})
 	}
 }
+
+// Guards against two holders that take turns too fast: a VM whose takeover took effect
+// without a response, or that restarted after it, found its own lease and did not
+// wait for the end of the handover.
+func TestTakeoverWithoutResponseStillWaits(t *testing.T) {
+	for name, restarted := range map[string]bool{"response lost": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			store, c := &fakeLeaseStore{}, newClock()
+			ctx := context.Background()
+			old := newTestElector(store, c, "a", nil)
+			if err := old.Acquire(ctx); err != nil {
+				t.Fatal(err)
+			}
+			next := newTestElector(store, c, "b", nil)
+			_ = next.Acquire(ctx) // the lease is not free yet
+			c.advance(2 * time.Second)
+			store.loseResponses = true
+			if err := next.Acquire(ctx); err == nil {
+				t.Fatal("no error after a lost response")
+			}
+			store.loseResponses = false
+			if restarted {
+				next = newTestElector(store, c, "b", nil)
+			}
+			for elapsed := time.Duration(0); elapsed < handoverDelay; elapsed += 100 * time.Millisecond {
+				_ = next.Acquire(ctx) // renews
+				if maySend(next, c) {
+					t.Fatalf("orders may be sent %v after the takeover, want at least %v", elapsed, handoverDelay)
+				}
+				c.advance(100 * time.Millisecond)
+			}
+			if end := next.HandoverEnd().Sub(start); end < 2*time.Second+handoverDelay {
+				t.Errorf("handover ends after %v", end)
+			}
+		})
+	}
+}
