internal/registry, platform: order by era and revision

When the store comes back from a copy, revisions go back and are given out again; the header Store-Era rises. Cause, by reading: the follower took no list or peer page whose revision was not above its own, so it ignored the store until revisions had caught up, and then applied changes to a state that they don't belong to. Change: a Position (era, revision) orders follower states, peer pages and beacons. A watch that returns another era makes the VM list again, within 0.4 s, in a large fleet the four that watch; the others fetch the whole state from them. Responses of an earlier era, and headers that can't be used, are errors, counted and logged; without the header all is as before. A configuration of a copy comes into force only if its version is not lower; upstreams that are missing stay a last resort as after an outage, those that are leaving stay so, those that have ended are held back for 4 s unless they write again. Older builds get changes as before until an era rises under the VM that they ask, then whole states; their beacons tell no era and don't count as watching.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
@@ -47,6 +48,26 @@
 	Configuration uint64 `json:"configuration" cbor:"1,keyasint"`
 	Upstreams     uint64 `json:"upstreams" cbor:"2,keyasint"`
 	Versions      uint64 `json:"versions" cbor:"3,keyasint"`
+	// The eras are those of the revisions.
+	ConfigurationEra uint64 `json:"configuration_era,omitempty" cbor:"4,keyasint,omitempty"`
+	UpstreamsEra     uint64 `json:"upstreams_era,omitempty" cbor:"5,keyasint,omitempty"`
+	VersionsEra      uint64 `json:"versions_era,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// Positions returns the positions of the configuration, the upstreams and the
+// versions.
+func (r Revisions) Positions() (configuration, upstreams, versions registry.Position) {
+	return registry.Position{Era: r.ConfigurationEra, Revision: r.Configuration},
+		registry.Position{Era: r.UpstreamsEra, Revision: r.Upstreams},
+		registry.Position{Era: r.VersionsEra, Revision: r.Versions}
+}
+
+// NewRevisions returns the Revisions of three positions.
+func NewRevisions(configuration, upstreams, versions registry.Position) Revisions {
+	return Revisions{
+		Configuration: configuration.Revision, Upstreams: upstreams.Revision, Versions: versions.Revision,
+		ConfigurationEra: configuration.Era, UpstreamsEra: upstreams.Era, VersionsEra: versions.Era,
+	}
 }
 
 // Suspicion reports that an incarnation of an upstream broke off its response to
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -137,10 +138,10 @@
 		}
 		v.mu.Unlock()
 	}
-	own := v.revisions()
-	fetchFromPeer(v, "configurations", m, m.Revisions.Configuration, own.Configuration, v.configurationFollower)
-	fetchFromPeer(v, "upstreams", m, m.Revisions.Upstreams, own.Upstreams, v.upstreamFollower)
-	fetchFromPeer(v, "versions", m, m.Revisions.Versions, own.Versions, v.versionFollower)
+	configuration, upstreams, versions := m.Revisions.Positions()
+	fetchFromPeer(v, "configurations", m, configuration, v.configurationFollower)
+	fetchFromPeer(v, "upstreams", m, upstreams, v.upstreamFollower)
+	fetchFromPeer(v, "versions", m, versions, v.versionFollower)
 }
 
 // mergeDesiredAges applies another VM's record of how long each version has been
@@ -182,10 +183,11 @@
 const ownWatchGrace = 150 * time.Millisecond
 
 // fetchFromPeer starts a download of a collection from a peer that has a newer
-// revision. It does nothing if this VM's own watch delivers that revision first,
+// position. It does nothing if this VM's own watch delivers that position first,
 // or if a download of the collection is running.
-func fetchFromPeer[T any](v *VM, collection string, m beacon.Message, theirs, own uint64, f *registry.Follower[T]) {
-	if theirs <= own {
+func fetchFromPeer[T any](v *VM, collection string, m beacon.Message, theirs registry.Position, f *registry.Follower[T]) {
+	own := f.Position()
+	if !own.Before(theirs) {
 		return
 	}
 	v.mu.Lock()
@@ -196,12 +198,12 @@
 	v.fetching[collection] = true
 	go func() {
 		time.Sleep(ownWatchGrace)
-		if f.Revision() < theirs {
+		if since := f.Position(); since.Before(theirs) {
 			var page registry.Page[T]
-			err := v.fetchPage(m.Control, collection, f.Revision(), &page)
+			err := v.fetchPage(m.Control, collection, since, &page)
 			applied := err == nil && f.Offer(v.opts.Now(), page)
-			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs).
-				Uint64("own", own).Bool("taken", applied).AnErr("error", err).Msg("state fetched from a peer")
+			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs.Revision).
+				Uint64("own", own.Revision).Uint64("era", theirs.Era).Bool("taken", applied).AnErr("error", err).Msg("state fetched from a peer")
 		}
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -209,8 +211,9 @@
 	}()
 }
 
-func (v *VM) fetchPage(control, collection string, since uint64, page any) error {
-	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection + "?since=" + strconv.FormatUint(since, 10))
+func (v *VM) fetchPage(control, collection string, since registry.Position, page any) error {
+	query := url.Values{"since": {strconv.FormatUint(since.Revision, 10)}, "era": {strconv.FormatUint(since.Era, 10)}}
+	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection + "?" + query.Encode())
 	if err != nil {
 		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
 	}
@@ -234,14 +237,21 @@
 }
 
 // serveCollection registers an endpoint that returns the changes of a collection
-// after the revision in the query parameter "since".
+// after the position in the query parameters "since" and "era". An older build sends
+// no era and knows no eras: it gets changes, as it expects, as long as the store has
+// not come back from a copy since this VM started.
 func serveCollection[T any](mux *http.ServeMux, name string, f *registry.Follower[T]) {
 	mux.HandleFunc("GET /v1/collections/"+name, func(w http.ResponseWriter, r *http.Request) {
-		since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-		if err != nil {
+		query := r.URL.Query()
+		since, sinceErr := strconv.ParseUint(query.Get("since"), 10, 64)
+		era, eraErr := strconv.ParseUint(query.Get("era"), 10, 64)
+		if !query.Has("era") && f.FirstEra() == f.Position().Era {
+			era, eraErr = f.FirstEra(), nil
+		}
+		if sinceErr != nil || eraErr != nil {
 			since = 0 // return the whole state
 		}
-		writeJSON(w, f.Snapshot(since))
+		writeJSON(w, f.Snapshot(registry.Position{Era: era, Revision: since}))
 	})
 }
 
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -26,8 +26,12 @@
 				Str("problem", item.Problem).Msg("configuration not usable")
 			continue
 		}
-		c := routing.New(item.Revision, item.Value)
+		c := routing.New(item.Revision, item.Value).WithEra(page.Era)
 		if !v.configuration.Offer(c) {
+			if current := v.configuration.Current(); current.Era() < page.Era {
+				v.log.Warn().Uint64("era", page.Era).Uint64("revision", item.Revision).Int64("version", c.Version()).
+					Int64("in_force", current.Version()).Msg("older configuration of a copy not used")
+			}
 			continue
 		}
 		var store roster.Upstream
@@ -56,7 +60,12 @@
 			list = append(list, item.Value)
 		}
 	}
-	v.recordUpstreamChanges(now, v.upstreams.Replace(now, list, afterOutage))
+	if page.Era > v.upstreamsEra && v.upstreamsListed {
+		v.recordUpstreamChanges(now, v.upstreams.ReplaceFromCopy(now, list))
+	} else {
+		v.recordUpstreamChanges(now, v.upstreams.Replace(now, list, afterOutage))
+	}
+	v.upstreamsListed, v.upstreamsEra = true, page.Era
 }
 
 // Apply implements registry.Sink.
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -108,6 +108,11 @@
 	// versionsListed reports whether the desired versions have been listed once. Only
 	// the goroutine of their follower uses it.
 	versionsListed bool
+	// upstreamsListed reports whether the upstreams have been listed once, and
+	// upstreamsEra is the store's era of the last list. Only the upstream sink uses
+	// them.
+	upstreamsListed bool
+	upstreamsEra    uint64
 
 	mu sync.Mutex
 	// suspicions holds the suspicions for the next beacon.
@@ -140,6 +145,7 @@
 		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS)}),
 	}
 	v.store = platform.NewStore(s.StoreAddress, v.metrics)
+	v.store.SetLog(v.log)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	limits := roster.VersionLimits{MaxSpan: milliseconds(s.VersionMS) - versionMargin, MaxTotal: milliseconds(s.VersionTotalMS) - versionMargin}
--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -14,7 +14,25 @@
 	if now.Sub(v.startedAt) < joinPeriod {
 		return false
 	}
-	return ShouldWatch(now, v.settings.Name, v.beacon.Alive(now))
+	return ShouldWatch(now, v.settings.Name, ignoreEarlierWatchers(v.beacon.Alive(now), v.upstreamFollower.Position().Era))
+}
+
+// ignoreEarlierWatchers returns the peers, of which those that follow an earlier era
+// than this VM do not count as watching. A VM of an older build tells no era.
+func ignoreEarlierWatchers(peers []*beacon.Peer, era uint64) []*beacon.Peer {
+	if era == 0 {
+		return peers
+	}
+	list := make([]*beacon.Peer, len(peers))
+	for i, p := range peers {
+		list[i] = p
+		if p.Watching && p.Revisions.UpstreamsEra < era {
+			passive := *p
+			passive.Watching = false
+			list[i] = &passive
+		}
+	}
+	return list
 }
 
 // ShouldWatch reports whether a VM should watch the store, given the peers whose
@@ -72,15 +90,11 @@
 
 // revisions returns the revision up to which this VM knows each collection.
 func (v *VM) revisions() beacon.Revisions {
-	return beacon.Revisions{
-		Configuration: v.configurationFollower.Revision(), Upstreams: v.upstreamFollower.Revision(), Versions: v.versionFollower.Revision(),
-	}
+	return beacon.NewRevisions(v.configurationFollower.Position(), v.upstreamFollower.Position(), v.versionFollower.Position())
 }
 
 // lastChangeRevisions returns the revisions at which each collection last changed,
 // as far as this VM knows.
 func (v *VM) lastChangeRevisions() beacon.Revisions {
-	return beacon.Revisions{
-		Configuration: v.configurationFollower.LastChangeRevision(), Upstreams: v.upstreamFollower.LastChangeRevision(), Versions: v.versionFollower.LastChangeRevision(),
-	}
+	return beacon.NewRevisions(v.configurationFollower.LastChange(), v.upstreamFollower.LastChange(), v.versionFollower.LastChange())
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,8 +9,9 @@
 //	})
 //	go f.Run(ctx)
 //
-// A Follower is safe for concurrent use. Revisions are the store's: they
-// increase with every change, and a lower one never replaces a higher one.
+// A Follower is safe for concurrent use. A state never replaces one of a higher
+// Position. After the store has come back from a copy the Follower lists again: a
+// state holds no changes of two eras.
 package registry
 
 import (
@@ -34,6 +35,9 @@
 	ErrConflict = errors.New("registry: conflict")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("registry: not found")
+	// ErrLateResponse means that the response is from before the store came back
+	// from a copy. It must not be used.
+	ErrLateResponse = errors.New("registry: response of an earlier era")
 	// ErrRefused means that the store rejected the call. Nothing was written.
 	ErrRefused = errors.New("registry: refused")
 )
@@ -49,8 +53,9 @@
 }
 
 // Page is the whole state of a collection at a revision, or the changes up to
-// that revision.
+// that revision, all in one era.
 type Page[T any] struct {
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Since is the revision after which the changes start, or 0 for a whole state.
 	Since uint64    `json:"since,omitempty"`
@@ -59,7 +64,8 @@
 
 // Feed reads one collection. Its implementations are safe for concurrent use.
 type Feed[T any] interface {
-	// List returns the whole collection.
+	// List returns the whole collection. It returns ErrLateResponse if the store
+	// has come back from a copy meanwhile.
 	List(ctx context.Context) (Page[T], error)
 	// Watch waits up to wait for changes after a revision and returns them. It
 	// returns a Page without items if there are none, and ErrHistoryGone if the
@@ -72,7 +78,9 @@
 // call.
 type Sink[T any] interface {
 	// Replace receives a whole state. With afterOutage, missing items may have
-	// expired during an outage of the store and may come back.
+	// expired during an outage of the store and may come back. A page of a higher
+	// era than the last one is from a copy: it may be older than what is known,
+	// until what is missing is written again.
 	Replace(now time.Time, page Page[T], afterOutage bool)
 	// Apply receives changes. With afterOutage, deleted items may come back.
 	Apply(now time.Time, page Page[T], afterOutage bool)
@@ -92,8 +100,13 @@
 	returnPeriod = 2 * time.Second
 	// minExpiryOutage is the shortest outage in which items expire.
 	minExpiryOutage = 500 * time.Millisecond
+	// newEraSpread is the time over which VMs list again when they notice a new era.
+	newEraSpread = 400 * time.Millisecond
 )
 
+// errNewEra means that a watch has returned changes of a new era.
+var errNewEra = errors.New("registry: the store has come back from a copy")
+
 // Options configures a Follower. All but CollectInterval and Log are required.
 type Options[T any] struct {
 	// Name is the collection's name in logs.
@@ -115,13 +128,16 @@
 type Follower[T any] struct {
 	opts Options[T]
 
-	mu       sync.Mutex
-	revision uint64
-	// lastChange is the revision of the last known change.
-	lastChange uint64
-	items      map[string]Item[T]
+	mu sync.Mutex
+	// position is that of the state, and zero if there is none. lastChange is the
+	// position of the last known change.
+	position   Position
+	lastChange Position
+	// firstEra is the era of the first state.
+	firstEra uint64
+	items    map[string]Item[T]
 	// deleted holds the items deleted after the revision deletedAfter, in order,
-	// for peers with an older state.
+	// for peers with an older state. Both are of the state's era.
 	deleted      []Item[T]
 	deletedAfter uint64
 	// failingSince is when calls started to fail, or zero. recoveredAt is when
@@ -138,12 +154,27 @@
 func (f *Follower[T]) Revision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position.Revision
+}
+
+// Position returns the position of the current state, or zero if there is none.
+func (f *Follower[T]) Position() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
 }
 
-// LastChangeRevision returns the revision of the last known change of this
-// collection. Revision also increases while the collection does not change.
-func (f *Follower[T]) LastChangeRevision() uint64 {
+// FirstEra returns the era of the first state. The store has not come back from a
+// copy since, if the present state is of the same.
+func (f *Follower[T]) FirstEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstEra
+}
+
+// LastChange returns the position of the last known change of this collection.
+// Position also moves on while the collection does not change.
+func (f *Follower[T]) LastChange() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.lastChange
@@ -160,17 +191,17 @@
 // maxDeleted limits the deleted items that are kept for peers.
 const maxDeleted = 256
 
-// Snapshot returns what a peer at revision since lacks: the changes after it, or
-// the whole state if deletions after it are no longer known. Deleted items come
-// first.
-func (f *Follower[T]) Snapshot(since uint64) Page[T] {
+// Snapshot returns what a peer at the position since lacks: the changes after it, or
+// the whole state if it is of another era or deletions after it are no longer known.
+// Deleted items come first.
+func (f *Follower[T]) Snapshot(since Position) Page[T] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page := Page[T]{Revision: f.revision, Items: []Item[T]{}}
-	if since > 0 && since >= f.deletedAfter {
-		page.Since = since
+	page := Page[T]{Era: f.position.Era, Revision: f.position.Revision, Items: []Item[T]{}}
+	if since.Era == f.position.Era && since.Revision > 0 && since.Revision >= f.deletedAfter {
+		page.Since = since.Revision
 		for _, item := range f.deleted {
-			if item.Revision > since {
+			if item.Revision > since.Revision {
 				page.Items = append(page.Items, item)
 			}
 		}
@@ -184,12 +215,16 @@
 }
 
 // Offer applies a peer's whole state, or its changes, if they are newer than the
-// current state. It ignores changes that start after the current revision, since
-// those before them are missing. It reports whether it applied anything.
+// current state. It ignores changes of another era and those that start after the
+// current revision, since those before them are missing. It reports whether it
+// applied anything.
 func (f *Follower[T]) Offer(now time.Time, page Page[T]) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if page.Revision <= f.revision || page.Since > f.revision {
+	if !f.position.Before(Position{page.Era, page.Revision}) {
+		return false
+	}
+	if page.Since > 0 && (page.Era != f.position.Era || page.Since > f.position.Revision) {
 		return false
 	}
 	if page.Since == 0 {
@@ -216,9 +251,11 @@
 			list = false
 			backoff = minBackoff
 			continue
-		case errors.Is(err, ErrHistoryGone):
-			f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("revision", f.Revision()).Msg("history gone, listing again")
+		case f.mustList(err):
 			list = true
+			if errors.Is(err, errNewEra) {
+				wait.For(ctx, rand.N(newEraSpread))
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -230,6 +267,17 @@
 	}
 }
 
+// mustList reports whether a failed watch can't go on and the next call must be a
+// list.
+func (f *Follower[T]) mustList(err error) bool {
+	if errors.Is(err, ErrHistoryGone) {
+		p := f.Position()
+		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", p.Era).Uint64("revision", p.Revision).Msg("history gone, listing again")
+		return true
+	}
+	return errors.Is(err, errNewEra)
+}
+
 // listOrWatch makes one call to the store and applies its result. It lists if
 // list is set or no state is known, and watches otherwise.
 func (f *Follower[T]) listOrWatch(ctx context.Context, list bool) error {
@@ -241,11 +289,14 @@
 		f.applyList(f.opts.Now(), page)
 		return nil
 	}
-	after := f.Revision()
-	page, err := f.opts.Feed.Watch(ctx, after, watchWait-rand.N(watchWait/4))
+	after := f.Position()
+	page, err := f.opts.Feed.Watch(ctx, after.Revision, watchWait-rand.N(watchWait/4))
 	if err != nil {
 		return err
 	}
+	if page.Era > after.Era {
+		return errNewEra
+	}
 	f.applyWatch(f.opts.Now(), after, page)
 	if f.opts.CollectInterval != nil && len(page.Items) > 0 {
 		wait.For(ctx, f.opts.CollectInterval())
@@ -259,7 +310,7 @@
 	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
 		f.failingSince = now
-		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("revision", f.revision).Err(err).Msg("store lost")
+		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", f.position.Era).Uint64("revision", f.position.Revision).Err(err).Msg("store lost")
 	}
 }
 
@@ -300,7 +351,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordSuccess(now)
-	if page.Revision >= f.revision {
+	if !(Position{page.Era, page.Revision}).Before(f.position) {
 		f.replace(now, page)
 	}
 }
@@ -308,24 +359,36 @@
 // replace replaces the whole state and passes it to the Sink. The caller holds
 // the lock.
 func (f *Follower[T]) replace(now time.Time, page Page[T]) {
-	f.revision = page.Revision
+	if page.Era > f.position.Era {
+		f.lastChange = Position{Era: page.Era}
+		if f.position.Revision > 0 {
+			// What the copy lacks is written again by those who wrote it.
+			f.recoveredAt = now
+			f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", f.position.Era).Uint64("revision", f.position.Revision).
+				Uint64("new_era", page.Era).Uint64("new_revision", page.Revision).Msg("state of a new era")
+		}
+	}
+	if f.position.Revision == 0 {
+		f.firstEra = page.Era
+	}
+	f.position = Position{page.Era, page.Revision}
 	f.deletedAfter = page.Revision
 	f.deleted = nil
 	clear(f.items)
 	for _, item := range page.Items {
 		f.items[item.Name] = item
-		f.lastChange = max(f.lastChange, item.Revision)
+		f.lastChange.Revision = max(f.lastChange.Revision, item.Revision)
 	}
 	f.opts.Sink.Replace(now, page, f.afterOutage(now))
 }
 
-// applyWatch applies the changes of a watch that started after a revision.
-func (f *Follower[T]) applyWatch(now time.Time, after uint64, page Page[T]) {
+// applyWatch applies the changes of a watch that started after a position.
+func (f *Follower[T]) applyWatch(now time.Time, after Position, page Page[T]) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordSuccess(now)
 	// A peer's newer state may have been applied meanwhile.
-	if page.Revision < f.revision || after != f.revision {
+	if page.Era != f.position.Era || page.Revision < f.position.Revision || after != f.position {
 		return
 	}
 	f.apply(now, page)
@@ -333,7 +396,7 @@
 
 // apply applies changes and passes them to the Sink. The caller holds the lock.
 func (f *Follower[T]) apply(now time.Time, page Page[T]) {
-	f.revision = page.Revision
+	f.position.Revision = page.Revision
 	for _, item := range page.Items {
 		if !item.Deleted {
 			f.items[item.Name] = item
@@ -353,7 +416,7 @@
 		f.deleted = f.deleted[excess:]
 	}
 	if len(page.Items) > 0 {
-		f.lastChange = page.Revision
+		f.lastChange.Revision = page.Revision
 		f.opts.Sink.Apply(now, page, f.afterOutage(now))
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -196,7 +196,7 @@
 	if diff := cmp.Diff(2, len(sink.all())); diff != "" {
 		t.Errorf("updates (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(page{Revision: 8, Items: items("p")}, f.Snapshot(0)); diff != "" {
+	if diff := cmp.Diff(page{Revision: 8, Items: items("p")}, f.Snapshot(registry.Position{})); diff != "" {
 		t.Errorf("state (-want +got):\n%s", diff)
 	}
 }
@@ -217,7 +217,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := f.Snapshot(test.since)
+			got := f.Snapshot(registry.Position{Revision: test.since})
 			slices.SortFunc(got.Items, func(a, b item) int { return strings.Compare(a.Name, b.Name) })
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("changes (-want +got):\n%s", diff)
@@ -238,7 +238,7 @@
 	_, _, f := follow(t, time.Now, 2, step{page: page{Revision: 2, Items: []item{{Name: "a", Revision: 2}}}},
 		step{page: page{Revision: 5, Items: []item{{Name: "a", Revision: 2, Deleted: true}, {Name: "a", Revision: 4}, {Name: "b", Revision: 5}}}})
 	want := page{Revision: 5, Since: 4, Items: []item{{Name: "b", Revision: 5}}}
-	if diff := cmp.Diff(want, f.Snapshot(4)); diff != "" {
+	if diff := cmp.Diff(want, f.Snapshot(registry.Position{Revision: 4})); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -135,6 +135,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// ended holds when incarnations were last seen to have ended. heldBack holds
+	// entries of such incarnations in a copy of the store, by ID.
+	ended    map[string]time.Time
+	heldBack map[string]heldEntry
 	// desired holds the versions that operators have set.
 	desired *weights.History
 	// cacheTokens is the cache size in tokens of each service's upstreams.
@@ -161,6 +165,8 @@
 	return &Table{
 		opts:        opts,
 		members:     make(map[string]*member),
+		ended:       make(map[string]time.Time),
+		heldBack:    make(map[string]heldEntry),
 		desired:     weights.NewHistory(),
 		cacheTokens: make(map[string]int),
 		peers:       newPeerStates(),
@@ -230,6 +236,7 @@
 func (t *Table) Replace(now time.Time, list []Upstream, keepExpired bool) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	clear(t.heldBack)
 	var changes []Change
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
@@ -248,6 +255,7 @@
 func (t *Table) Put(now time.Time, u Upstream) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.heldBack, u.ID)
 	return t.putEntry(nil, now, u)
 }
 
@@ -256,11 +264,13 @@
 func (t *Table) Remove(now time.Time, id string, keepExpired bool) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.heldBack, id)
 	return t.removeEntry(nil, now, id, keepExpired)
 }
 
 func (t *Table) putEntry(changes []Change, now time.Time, u Upstream) []Change {
 	m := t.members[u.ID]
+	delete(t.ended, u.Incarnation())
 	if m == nil {
 		t.members[u.ID] = newMember(now, u)
 		return append(changes, Change{Upstream: u, Kind: Added})
@@ -274,6 +284,7 @@
 	switch {
 	case old.Born != u.Born || old.Address != u.Address:
 		own := m.ownLoad
+		t.recordEnd(now, old)
 		*m = *newMember(now, u)
 		m.ownLoad = own
 		return append(changes, Change{Upstream: u, Kind: Restarted, EndedIncarnation: old.Incarnation()})
@@ -301,14 +312,16 @@
 		return changes
 	}
 	delete(t.members, id)
+	t.recordEnd(now, m.upstream)
 	return append(changes, Change{Upstream: m.upstream, Kind: Removed, EndedIncarnation: m.upstream.Incarnation()})
 }
 
-// RemoveExpired removes the upstreams whose entries have not come back.
+// RemoveExpired removes the upstreams whose entries have not come back, and adds
+// entries that were held back and have not expired.
 func (t *Table) RemoveExpired(now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var changes []Change
+	changes := t.admitHeldBack(now)
 	for id, m := range t.members {
 		if !m.entryExpiredAt.IsZero() && now.Sub(m.entryExpiredAt) > expiredEntryHold {
 			changes = t.removeEntry(changes, now, id, false)
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// Holder holds the current configuration. It never returns to an older revision.
+// Holder holds the current configuration. It never returns to an older one.
 // The zero value holds none. It is safe for concurrent use.
 type Holder struct {
 	current atomic.Pointer[Config]
@@ -20,10 +20,12 @@
 }
 
 // Offer replaces the current configuration if c is newer, and reports whether it was.
+// After the store has come back from a copy, c is newer if its version is not lower:
+// the store may not have got the current one back yet.
 func (h *Holder) Offer(c *Config) bool {
 	for {
 		old := h.current.Load()
-		if old != nil && old.revision >= c.revision {
+		if old != nil && !c.isNewer(old) {
 			return false
 		}
 		if h.current.CompareAndSwap(old, c) {
@@ -31,3 +33,10 @@
 		}
 	}
 }
+
+func (c *Config) isNewer(old *Config) bool {
+	if c.era == old.era {
+		return c.revision > old.revision
+	}
+	return c.era > old.era && c.Version() >= old.Version()
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -143,6 +143,8 @@
 // Config is a configuration with indexes for lookups.
 type Config struct {
 	revision uint64
+	// era is the store's era of the revision.
+	era      uint64
 	document Document
 	// byHost holds the routes of each lower-case host, the longest prefix first.
 	byHost   map[string][]Route
@@ -177,6 +179,17 @@
 	return c
 }
 
+// WithEra returns the configuration with the store's era of its revision, which is 0
+// otherwise.
+func (c *Config) WithEra(era uint64) *Config {
+	changed := *c
+	changed.era = era
+	return &changed
+}
+
+// Era returns the store's era of the configuration's revision.
+func (c *Config) Era() uint64 { return c.era }
+
 // Revision returns the configuration's revision in the store.
 func (c *Config) Revision() uint64 { return c.revision }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -76,6 +76,30 @@
 	}
 }
 
+// TestConfigurationStaysInForceAfterReturn checks that a store that has come back from
+// a copy does not replace the configuration in force by an older version, and that the
+// same or a newer version does, although its revision is lower.
+func TestConfigurationStaysInForceAfterReturn(t *testing.T) {
+	var h routing.Holder
+	for _, step := range []struct {
+		era, revision uint64
+		version       int64
+		accepted      bool
+	}{
+		{1, 50, 6, true}, {1, 60, 7, true},
+		{2, 40, 5, false}, {2, 41, 6, false},
+		{2, 42, 7, true}, {2, 43, 9, true},
+		{1, 90, 12, false}, {2, 41, 10, false},
+		{4, 10, 8, false}, {4, 11, 9, true}, {3, 99, 11, false},
+	} {
+		d := document()
+		d.Version = step.version
+		if accepted := h.Offer(routing.New(step.revision, d).WithEra(step.era)); accepted != step.accepted {
+			t.Errorf("%+v accepted: %v", step, accepted)
+		}
+	}
+}
+
 func TestPickServiceByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
