internal/rollout: leases of a copy, and fences above those of earlier eras

Cause, by reading and by trial: after a return from a copy a VM took a missing lease with fence 1 and an older one with the copied fence + 1, either of which engines may have seen from another holder, without waiting for one that still held the lost lease; and a holder renewed on, if its condition happened to hold for the same revision of another state. Change: the lease says in which era it was written. One of another era counts as held by somebody else until it has stood unchanged, whatever it says, and the handover follows; a missing one in an era above 0 is waited for as long. A fence is above the era's first one and the replaced revision, so that two leases of an era can't share one, even if a VM that did not know the era yet has written in between. A holder that learns of a new era, also by the response to its renewal, stops.

--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -25,6 +25,13 @@
 	// down makes it reject calls. loseResponses makes it store a write but return
 	// an error.
 	down, loseResponses bool
+	era                 uint64
+}
+
+func (s *fakeLeaseStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *fakeLeaseStore) Read(context.Context) (rollout.Lease, error) {
@@ -36,7 +43,9 @@
 	if s.lease.Revision == 0 {
 		return rollout.Lease{}, registry.ErrNotFound
 	}
-	return s.lease, nil
+	l := s.lease
+	l.ReadEra = s.era
+	return l, nil
 }
 
 func (s *fakeLeaseStore) Write(_ context.Context, l rollout.Lease) (rollout.Lease, error) {
@@ -49,6 +58,7 @@
 		return rollout.Lease{}, registry.ErrConflict
 	}
 	l.Revision++
+	l.ReadEra = s.era
 	s.lease = l
 	if s.loseResponses {
 		return rollout.Lease{}, errResponseLost
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -18,7 +18,7 @@
 type Lease struct {
 	Holder      string `json:"holder"`
 	Incarnation int64  `json:"incarnation"`
-	// Fence grows with each new holder.
+	// Fence grows with each new holder, and is above all fences of earlier eras.
 	Fence uint64 `json:"fence"`
 	// Renewal grows with each renewal, so that each write changes the object.
 	Renewal  uint64 `json:"renewal"`
@@ -29,6 +29,9 @@
 	// restarts, still has to wait.
 	OrdersInMS   int64 `json:"orders_in_ms,omitempty"`
 	HandoverInMS int64 `json:"handover_in_ms,omitempty"`
+	// Era is the store's era in which the lease was written. One of an earlier era
+	// is from a copy: another VM may have held the lease since.
+	Era uint64 `json:"era,omitempty"`
 	// Desired holds the desired versions that the writer knows, with their ages
 	// at WrittenMS, the writer's time of day in Unix milliseconds. VMs that start
 	// while no other VM runs read them.
@@ -36,6 +39,8 @@
 	WrittenMS int64               `json:"written_ms,omitempty"`
 	// Revision is the object's revision in the store, or 0 if it is not stored yet.
 	Revision uint64 `json:"-"`
+	// ReadEra is the store's era in the response that held the lease.
+	ReadEra uint64 `json:"-"`
 }
 
 // MaxDowntime limits the time that is assumed to have passed since a lease was
@@ -63,6 +68,8 @@
 	// registry.ErrRefused mean that nothing was written; after any other the
 	// lease may have been written.
 	Write(ctx context.Context, l Lease) (Lease, error)
+	// Era returns the store's era, as far as known.
+	Era() uint64
 }
 
 // Clock gives access to both clocks of a VM.
@@ -156,11 +163,11 @@
 	return e.valid(now)
 }
 
-// valid reports whether the lease is held and its term has not ended by either
-// clock: the monotonic one stands still while the VM is suspended. The caller
-// holds the lock.
+// valid reports whether the lease is held, the store has not come back from a copy
+// since, and the term has not ended by either clock: the monotonic one stands still
+// while the VM is suspended. The caller holds the lock.
 func (e *Elector) valid(now time.Time) bool {
-	return e.held && now.Sub(e.renewedAt) < leaseTerm && e.opts.Clock.Boot()-e.renewedBoot < leaseTerm
+	return e.held && e.opts.Store.Era() == e.lease.Era && now.Sub(e.renewedAt) < leaseTerm && e.opts.Clock.Boot()-e.renewedBoot < leaseTerm
 }
 
 // Fence returns the fence of the last lease that this VM held. It returns 0 if
@@ -182,7 +189,11 @@
 	now := e.opts.Clock.Now()
 	e.mu.Lock()
 	if e.held && !e.valid(now) {
-		e.markLost(now, "not renewed in time")
+		reason := "not renewed in time"
+		if e.opts.Store.Era() != e.lease.Era {
+			reason = "the store came back from a copy"
+		}
+		e.markLost(now, reason)
 	}
 	held, lease, due := e.held, e.lease, now.Sub(e.renewedAt) >= renewInterval
 	e.mu.Unlock()
@@ -202,21 +213,28 @@
 	found, err := e.opts.Store.Read(ctx)
 	now := e.opts.Clock.Now()
 	if errors.Is(err, registry.ErrNotFound) {
-		return e.writeLease(ctx, Lease{Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Fence: 1}, now, now)
+		ordersFrom, era := now, e.opts.Store.Era()
+		if era > 0 {
+			// The copy may lack the lease of a VM that still holds it.
+			ordersFrom = now.Add(leaseTerm + e.opts.HandoverDelay + handoverMargin)
+		}
+		return e.writeLease(ctx, Lease{Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Era: era, Fence: nextFence(era, Lease{})}, ordersFrom, ordersFrom)
 	}
 	if err != nil {
 		return fmt.Errorf("rollout: read lease: %w", err)
 	}
 	e.opts.MergeDesiredAges(now, found.DesiredAges(now))
 	e.mu.Lock()
-	if found.Revision != e.lease.Revision || e.unchangedSince.IsZero() {
+	if found.Revision != e.lease.Revision || found.ReadEra != e.lease.ReadEra || e.unchangedSince.IsZero() {
 		e.lease = found
 		e.unchangedSince = now
 	}
 	unchanged := now.Sub(e.unchangedSince)
 	e.mu.Unlock()
-	sameHolder := found.Holder == e.opts.Holder
-	free := found.Released || e.opts.SteppedDown(found.Holder, found.Incarnation, found.Fence)
+	// What a copy says of its holder may have changed after the copy was made.
+	copied := found.Era != found.ReadEra
+	sameHolder := !copied && found.Holder == e.opts.Holder
+	free := !copied && (found.Released || e.opts.SteppedDown(found.Holder, found.Incarnation, found.Fence))
 	if !sameHolder && !free && unchanged < leaseTerm+handoverMargin {
 		return nil
 	}
@@ -233,12 +251,26 @@
 		}
 	}
 	next := Lease{
-		Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Revision: found.Revision,
-		Fence: found.Fence + 1, Renewal: found.Renewal + 1,
+		Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Revision: found.Revision, Era: found.ReadEra,
+		Fence: nextFence(found.ReadEra, found), Renewal: found.Renewal + 1,
 	}
 	return e.writeLease(ctx, next, ordersFrom, handoverEnd)
 }
 
+// fenceEraBits is the number of bits of a fence below the era.
+const fenceEraBits = 32
+
+// nextFence returns the fence of the lease that replaces found in an era. It is
+// above all fences of earlier eras. Within an era no two leases have the same, since
+// a lease can replace a revision only once, even if a VM that does not know the era
+// yet has written the same fence again.
+func nextFence(era uint64, found Lease) uint64 {
+	if era == 0 {
+		return found.Fence + 1
+	}
+	return max(found.Fence, era<<fenceEraBits+found.Revision) + 1
+}
+
 // writeLease stores the lease. ordersFrom and handoverEnd take effect only if
 // the lease was not held before.
 func (e *Elector) writeLease(ctx context.Context, l Lease, ordersFrom, handoverEnd time.Time) error {
@@ -264,6 +296,13 @@
 		}
 		return fmt.Errorf("rollout: write lease: %w", err)
 	}
+	if written.ReadEra != l.Era {
+		// The condition may have held for another state, which has the same revision.
+		if e.held {
+			e.markLost(now, "the store came back from a copy")
+		}
+		return fmt.Errorf("rollout: write lease of era %d in era %d: %w", l.Era, written.ReadEra, registry.ErrConflict)
+	}
 	if e.held && !e.valid(e.opts.Clock.Now()) {
 		// This VM may have announced meanwhile that it lost the lease.
 		e.markLost(now, "renewed too late")
@@ -300,7 +339,7 @@
 	e.held = false
 	e.unchangedSince = time.Time{}
 	e.mu.Unlock()
-	if !held {
+	if !held || lease.Era != e.opts.Store.Era() {
 		return nil
 	}
 	lease.Released = true
