--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -275,8 +275,8 @@
 // VMs that the store lists to the beacon's targets. When the VM has stopped
 // serving, it deletes the registration.
 func (v *VM) register(ctx context.Context) {
-	registered := false
-	failing := false
+	registered, failing := false, false
+	registeredEra := uint64(0)
 	logFailure := func(err error, message string) {
 		if !failing {
 			v.log.Warn().Err(err).Msg(message)
@@ -286,7 +286,9 @@
 	vms := v.store.VMs()
 	for ctx.Err() == nil {
 		delay := listInterval
-		if !registered {
+		if era := v.store.Era(); !registered || era != registeredEra {
+			// A copy may lack the registration. VMs notice at different times.
+			registered, registeredEra = false, era
 			if err := v.store.PutVM(ctx, v.settings.Name, v.peerAddress()); err != nil {
 				logFailure(err, "VM not registered in the store")
 				delay = registerBackoff
--- a/internal/entryvm/suspects.go
+++ b/internal/entryvm/suspects.go
@@ -57,8 +57,14 @@
 // deletes them when they have expired.
 func (v *VM) storeSuspects(ctx context.Context) {
 	stored := make(map[string]time.Time)
+	storedEra := uint64(0)
 	for wait.For(ctx, suspectsInterval) {
 		now := v.opts.Now()
+		if era := v.store.Era(); era != storedEra {
+			// A copy may lack them.
+			clear(stored)
+			storedEra = era
+		}
 		for _, r := range v.crashTracker.OwnBlocked(now) {
 			if _, known := stored[r.Fingerprint]; known {
 				continue
