internal/entryvm: VMs that start after a return take the configuration in force from peers

Cause: the configuration in force stays so after a return from a copy that lacks it, but a VM that started before the operator had written it again knew only the copy's: a revoked key worked there. Change: a beacon names the version in force if the store lacks it; a VM with a lower one fetches it. The store's next one of the same or a higher version replaces it.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -118,6 +118,9 @@
 	// Suspects holds news of requests that may crash upstreams, from any VM, and
 	// repeats some of what is known of those that do.
 	Suspects []ingress.SuspectReport `json:"suspects,omitempty" cbor:"22,keyasint,omitempty"`
+	// Retained is the version of the configuration in force if the store came back
+	// from a copy without it, and 0 otherwise.
+	Retained int64 `json:"retained,omitempty" cbor:"23,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -74,6 +74,9 @@
 		m.Loads[id] = [3]int{l.Requests, l.WaitingTokens, l.Tokens}
 	}
 	m.Watching = v.storeHealthy() && v.shouldWatch(now)
+	if c := v.retained(); c != nil {
+		m.Retained = c.Version()
+	}
 	m.LastFence = v.elector.Fence()
 	if v.rollout.Working(now) {
 		m.Leading = m.LastFence
@@ -138,6 +141,7 @@
 		}
 		v.mu.Unlock()
 	}
+	v.fetchRetained(m)
 	configuration, upstreams, versions := m.Revisions.Positions()
 	fetchFromPeer(v, "configurations", m, configuration, v.configurationFollower)
 	fetchFromPeer(v, "upstreams", m, upstreams, v.upstreamFollower)
@@ -190,13 +194,7 @@
 	if !own.Before(theirs) {
 		return
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.fetching[collection] {
-		return
-	}
-	v.fetching[collection] = true
-	go func() {
+	v.startFetch(collection, func() {
 		time.Sleep(ownWatchGrace)
 		if since := f.Position(); since.Before(theirs) {
 			var page registry.Page[T]
@@ -205,9 +203,24 @@
 			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs.Revision).
 				Uint64("own", own.Revision).Uint64("era", theirs.Era).Bool("taken", applied).AnErr("error", err).Msg("state fetched from a peer")
 		}
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		delete(v.fetching, collection)
+	})
+}
+
+// startFetch runs a download of a collection in a goroutine, unless one is running.
+func (v *VM) startFetch(collection string, fetch func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.fetching[collection] {
+		return
+	}
+	v.fetching[collection] = true
+	go func() {
+		defer func() {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			delete(v.fetching, collection)
+		}()
+		fetch()
 	}()
 }
 
@@ -231,6 +244,7 @@
 	serveCollection(mux, "configurations", v.configurationFollower)
 	serveCollection(mux, "upstreams", v.upstreamFollower)
 	serveCollection(mux, "versions", v.versionFollower)
+	mux.HandleFunc("GET /v1/collections/"+retainedCollection, v.serveRetained)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
 	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
 	return mux
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -34,21 +34,27 @@
 			}
 			continue
 		}
-		var store roster.Upstream
-		storeTokens := 0
-		for _, s := range c.Services() {
-			if s.StoreAddress != "" {
-				store = roster.Upstream{ID: s.Name, Service: s.Name, Address: s.StoreAddress, DataCentre: s.DataCentre}
-				storeTokens = s.CacheTokens
-			}
-			v.upstreams.SetCacheTokens(s.Name, s.CacheTokens)
-		}
-		v.upstreams.SetStore(store, storeTokens)
+		v.applyServices(c)
 		v.log.Info().Uint64("revision", c.Revision()).Int64("version", c.Version()).Int("routes", len(item.Value.Routes)).
 			Msg("configuration in force")
 	}
 }
 
+// applyServices passes the services of a configuration that has come into force on to
+// the roster.
+func (v *VM) applyServices(c *routing.Config) {
+	var store roster.Upstream
+	storeTokens := 0
+	for _, s := range c.Services() {
+		if s.StoreAddress != "" {
+			store = roster.Upstream{ID: s.Name, Service: s.Name, Address: s.StoreAddress, DataCentre: s.DataCentre}
+			storeTokens = s.CacheTokens
+		}
+		v.upstreams.SetCacheTokens(s.Name, s.CacheTokens)
+	}
+	v.upstreams.SetStore(store, storeTokens)
+}
+
 // upstreamSink applies the upstreams' entries in the store to the roster.
 type upstreamSink struct{ *VM }
 
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// Retain replaces the current configuration if c has a higher version, and reports
+// whether it was replaced. c was in force at another VM before the store came back from
+// a copy that lacks it.
+func (h *Holder) Retain(c *Config) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && old.Version() >= c.Version() {
+			return false
+		}
+		if h.current.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
 func (c *Config) isNewer(old *Config) bool {
 	if c.era == old.era {
 		return c.revision > old.revision
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -193,6 +193,9 @@
 // Revision returns the configuration's revision in the store.
 func (c *Config) Revision() uint64 { return c.revision }
 
+// Document returns the document. It must not be changed.
+func (c *Config) Document() Document { return c.document }
+
 // Version returns the version that operators gave the configuration.
 func (c *Config) Version() int64 { return c.document.Version }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// TestRetainedConfiguration checks that a VM that starts with an older configuration of
+// a copy takes the newer one that its peers retain, and then only the same or newer
+// versions of the store.
+func TestRetainedConfiguration(t *testing.T) {
+	config := func(era, revision uint64, version int64) *routing.Config {
+		d := document()
+		d.Version = version
+		return routing.New(revision, d).WithEra(era)
+	}
+	var h routing.Holder
+	got := []bool{
+		h.Offer(config(2, 40, 5)), h.Retain(config(1, 60, 5)), h.Retain(config(1, 60, 7)),
+		h.Offer(config(2, 41, 6)), h.Offer(config(2, 42, 7)), h.Offer(config(2, 43, 8)), h.Retain(config(1, 60, 7)),
+	}
+	if diff := cmp.Diff([]bool{true, false, true, false, true, true, false}, got); diff != "" {
+		t.Errorf("accepted (-want +got):\n%s", diff)
+	}
+}
+
 func TestPickServiceByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
