--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -115,9 +115,9 @@
 	Desired []roster.DesiredAge `json:"named,omitempty" cbor:"20,keyasint,omitempty"`
 	// Peers holds addresses of other VMs, in every peersEvery-th beacon.
 	Peers []string `json:"peers,omitempty" cbor:"21,keyasint,omitempty"`
-	// Suspects holds news of requests that may crash upstreams, from any VM, and
+	// SuspectReports holds news of requests that may crash upstreams, from any VM, and
 	// repeats some of what is known of those that do.
-	Suspects []ingress.SuspectReport `json:"suspects,omitempty" cbor:"22,keyasint,omitempty"`
+	SuspectReports []ingress.SuspectReport `json:"suspect_reports,omitempty" cbor:"22,keyasint,omitempty"`
 	// Retained is the version of the configuration in force if the store came back
 	// from a copy without it, and 0 otherwise.
 	Retained int64 `json:"retained,omitempty" cbor:"23,keyasint,omitempty"`
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -62,7 +62,7 @@
 		Callers: v.settings.CallersListen, DataCentre: v.settings.DataCentre, State: beacon.Starting,
 		Revisions: v.lastChangeRevisions(), Loads: make(map[string][3]int),
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
-		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), Suspects: v.crashTracker.Reports(now),
+		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -127,10 +127,10 @@
 	v.mergeDesiredAges(now, m.Desired)
 	for _, s := range m.Suspected {
 		metrics.GetOrRegisterCounter("suspicions.received", v.metrics).Inc(1)
-		v.log.Info().Str("peer", m.Name).Str("fingerprint", s.Fingerprint).Str("incarnation", s.Incarnation).Msg("suspicion received")
+		v.log.Debug().Str("peer", m.Name).Str("fingerprint", s.Fingerprint).Str("incarnation", s.Incarnation).Msg("suspicion received")
 		v.crashTracker.RecordBroken(now, s.Fingerprint, s.Incarnation)
 	}
-	for _, r := range m.Suspects {
+	for _, r := range m.SuspectReports {
 		v.mergeSuspect(now, m.Name, r)
 	}
 	if m.Leading > 0 {
--- a/internal/ingress/crash_tracker.go
+++ b/internal/ingress/crash_tracker.go
@@ -124,7 +124,7 @@
 	}
 	s.broken[incarnation] = b
 	e := t.evidence(now, fingerprint)
-	if e.Crashes >= crashesToBlock {
+	if e.Blocked() {
 		t.mayBlock[fingerprint] = true
 	}
 	if b.crashed || b.cut && e.CutLately > 1 {
@@ -184,7 +184,7 @@
 // upstreams, or several have broken off their responses to it lately.
 func (t *CrashTracker) IsBlocked(now time.Time, fingerprint string) bool {
 	e := t.Evidence(now, fingerprint)
-	return e.Crashes >= crashesToBlock || e.CutLately >= cutsToHold
+	return e.Blocked() || e.Held()
 }
 
 // Evidence is what is known against a request.
@@ -197,6 +197,13 @@
 	Crashes   int `json:"crashes"`
 }
 
+// Blocked reports whether the request has crashed too many upstreams.
+func (e Evidence) Blocked() bool { return e.Crashes >= crashesToBlock }
+
+// Held reports whether so many upstreams have broken off their responses lately that
+// the request waits until it is known whether they have crashed.
+func (e Evidence) Held() bool { return !e.Blocked() && e.CutLately >= cutsToHold }
+
 // Evidence returns what is known against the request.
 func (t *CrashTracker) Evidence(now time.Time, fingerprint string) Evidence {
 	t.mu.Lock()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -34,6 +34,9 @@
 	// minEventGapTimeout is the minimum gap between two events of a stream after
 	// which the stream is resumed on another upstream.
 	minEventGapTimeout = time.Second
+	// heldRetryAfter is the Retry-After of a request that is held until it is known
+	// whether the upstreams that broke off have crashed.
+	heldRetryAfter = 2 * time.Second
 	// eventGapFactor is the gap after which a stream is resumed as a multiple of the
 	// route's target gap. The gap is minEventGapTimeout if that is longer.
 	eventGapFactor = 3
@@ -94,10 +97,13 @@
 func (j *job) serve() {
 	h := j.h
 	h.opts.RetryBudget.RecordRequest(j.startedAt, j.service.Name)
-	if h.opts.CrashTracker.IsBlocked(j.startedAt, j.fingerprint) {
-		e := h.opts.CrashTracker.Evidence(j.startedAt, j.fingerprint)
+	if e := h.opts.CrashTracker.Evidence(j.startedAt, j.fingerprint); e.Blocked() || e.Held() {
 		j.logEvent(j.startedAt).Str("fingerprint", j.fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("request blocked")
-		h.refuse(j.w, j.request, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "crashes_upstreams", "upstreams have crashed while they ran this request"))
+		refusal := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "crashes_upstreams", "upstreams have crashed while they ran this request")
+		if e.Held() {
+			refusal = refusal.WithRetryAfter(heldRetryAfter)
+		}
+		h.refuse(j.w, j.request, refusal)
 		return
 	}
 	ctx := j.r.Context()
--- a/internal/ingress/suspect_report.go
+++ b/internal/ingress/suspect_report.go
@@ -111,7 +111,7 @@
 func (t *CrashTracker) blocked(now time.Time) []string {
 	var list []string
 	for fingerprint := range t.mayBlock {
-		if t.evidence(now, fingerprint).Crashes >= crashesToBlock {
+		if t.evidence(now, fingerprint).Blocked() {
 			list = append(list, fingerprint)
 		}
 	}
--- a/internal/roster/copy.go
+++ b/internal/roster/copy.go
@@ -53,12 +53,7 @@
 		listed[u.ID] = true
 		changes = t.putEntry(changes, now, u)
 	}
-	for id := range t.members {
-		if !listed[id] {
-			changes = t.removeEntry(changes, now, id, true)
-		}
-	}
-	return changes
+	return t.removeUnlisted(changes, now, listed, true)
 }
 
 // admitHeldBack adds the entries that were held back for long enough. The caller
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -243,6 +243,10 @@
 		listed[u.ID] = true
 		changes = t.putEntry(changes, now, u)
 	}
+	return t.removeUnlisted(changes, now, listed, keepExpired)
+}
+
+func (t *Table) removeUnlisted(changes []Change, now time.Time, listed map[string]bool, keepExpired bool) []Change {
 	for id := range t.members {
 		if !listed[id] {
 			changes = t.removeEntry(changes, now, id, keepExpired)
