internal/permit, platform: upstreams' limits are decoded, logged and shown

Logs and metrics could not tell whether a VM had seen a limit, which one and when. Each response is now read for it: a line "upstream limit changed", the limit on each "request sent", a warning and a counter for values that can't be decoded, the limits in the state dump. No decision uses them yet.

One order of news is written down in permit.Limit.Merge: an announcement is newer if its request was sent when the other's response had arrived; of two that overlapped the lower rate counts.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -341,6 +341,11 @@
 		wait.For(ctx, expireInterval)
 		now := v.opts.Now()
 		v.recordUpstreamChanges(now, v.upstreams.RemoveExpired(now))
+		listed := make(map[string]bool)
+		for _, u := range v.upstreams.All() {
+			listed[u.Incarnation()] = true
+		}
+		v.limits.Retain(now, listed)
 		// VMs that have recently fallen silent are counted too: a VM that is cut off
 		// from the others still belongs to a large fleet.
 		v.upstreams.SetFleetSize(v.beacon.KnownCount())
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -39,6 +39,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
+	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -91,6 +92,7 @@
 	upstreamFollower      *registry.Follower[roster.Upstream]
 	versionFollower       *registry.Follower[platform.DesiredVersion]
 	crashTracker          *ingress.CrashTracker
+	limits                *permit.Book
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
 	rollout               *rollout.Rollout
@@ -139,6 +141,7 @@
 		startedAt:     opts.Now(),
 		configuration: &routing.Holder{},
 		crashTracker:  ingress.NewCrashTracker(),
+		limits:        permit.NewBook(),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: peerTimeout},
 		fetching:      make(map[string]bool),
@@ -235,6 +238,7 @@
 		Dialer:        v.dialer,
 		RetryBudget:   retryBudget,
 		CrashTracker:  v.crashTracker,
+		Limits:        v.limits,
 		Fleet:         v,
 		Metrics:       v.metrics,
 		Log:           v.log,
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -59,8 +59,9 @@
 		})
 		defer watchdog.Stop()
 	}
-	a.aliveAt = a.h.opts.Now()
-	resp, err := conn.Do(a.upstreamRequest(a.aliveAt))
+	sentAt := a.h.opts.Now()
+	a.aliveAt = sentAt
+	resp, err := conn.Do(a.upstreamRequest(sentAt))
 	if err != nil {
 		return a.handleBroken(ctx, err)
 	}
@@ -69,6 +70,9 @@
 		return a.handleBroken(ctx, errors.New("the response belongs to another request"))
 	}
 	a.aliveAt = a.h.opts.Now()
+	if !head.Misdirected {
+		a.h.observeLimit(a.aliveAt, a.upstream, head, sentAt)
+	}
 	a.h.opts.Upstreams.ReportReachable(a.aliveAt, a.upstream.ID)
 	if head.NotRun {
 		return a.handleRejection(resp, head)
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -73,6 +73,11 @@
 	Encoded bool
 	// Version is the version of the upstream's weights, or 0 if not given.
 	Version int64
+	// RateLimit is the number of requests per second that the upstream accepts from
+	// all VMs together, +Inf if it announces no limit. RateLimitProblem is not empty if
+	// it announces one that can't be decoded.
+	RateLimit        float64
+	RateLimitProblem string
 	// EventStream is set if the body is a stream of server-sent events.
 	EventStream bool
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
@@ -49,6 +50,7 @@
 	Dialer        *exchange.Dialer
 	RetryBudget   *RetryBudget
 	CrashTracker  *CrashTracker
+	Limits        *permit.Book
 	Fleet         Fleet
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -290,7 +290,8 @@
 		j.logEvent(now).Str("incarnation", u.Incarnation()).Str("fingerprint", j.fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request sent")
 	}
 	j.logEvent(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
-		Int("places", choice.FreeSlots).Int("candidates", choice.Candidates).Bool("fit", choice.Healthy).Bool("home", choice.Home).Float64("first_ms", choice.FirstTokenMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Msg("request sent")
+		Int("places", choice.FreeSlots).Int("candidates", choice.Candidates).Bool("fit", choice.Healthy).Bool("home", choice.Home).Float64("first_ms", choice.FirstTokenMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).
+		Func(j.h.logLimit(u)).Msg("request sent")
 	return a.sendAndForward(ctx, conn)
 }
 
--- /dev/null
+++ b/internal/permit/book.go
@@ -0,0 +1,136 @@
+package permit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxEntries limits the incarnations in a Book.
+	maxEntries = 4096
+	// maxReports limits the reports in one message to peers.
+	maxReports = 48
+	// unknownTTL is how long an incarnation stays that is not on the list of upstreams:
+	// news from peers may arrive before the list does.
+	unknownTTL = 10 * time.Second
+	// endedReportTTL is how long peers are told about the end of a limit.
+	endedReportTTL = 30 * time.Second
+)
+
+// Book holds the limits of all upstreams that have announced one. It is safe for
+// concurrent use.
+type Book struct {
+	mu      sync.Mutex
+	entries map[string]*bookEntry
+	// next is the index at which the next Reports begin if there are too many.
+	next int
+}
+
+// bookEntry is what a Book holds about one incarnation.
+type bookEntry struct {
+	limit Limit
+	// last is the lowest rate since the limit was first announced or last lifted, and
+	// endedAt when this VM learned of the end, or zero while there is a limit.
+	last    float64
+	endedAt time.Time
+	// listedAt is when the incarnation was last on the list of upstreams.
+	listedAt time.Time
+}
+
+// NewBook returns an empty Book.
+func NewBook() *Book { return &Book{entries: make(map[string]*bookEntry)} }
+
+// Observe records the rate that a response announces, +Inf if it announces none. It
+// reports whether the rate in force has changed.
+func (b *Book) Observe(now time.Time, incarnation string, rate float64, sentAt time.Time) bool {
+	return b.merge(now, incarnation, newLimit(rate, sentAt, now))
+}
+
+// Learn records a report of a peer. It reports whether the rate in force has changed.
+func (b *Book) Learn(now time.Time, r Report) bool {
+	l, ok := r.limit(now)
+	return ok && b.merge(now, r.Incarnation, l)
+}
+
+func (b *Book) merge(now time.Time, incarnation string, l Limit) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[incarnation]
+	if e == nil {
+		if !l.Limited() || len(b.entries) >= maxEntries {
+			return false
+		}
+		b.entries[incarnation] = &bookEntry{limit: l, last: l.Rate, listedAt: now}
+		return true
+	}
+	before := e.limit
+	e.limit = before.Merge(l)
+	switch {
+	case e.limit.Limited():
+		e.last, e.endedAt = e.limit.Rate, time.Time{}
+	case before.Limited():
+		e.endedAt = now
+	}
+	return e.limit.Rate != before.Rate
+}
+
+// Rate returns the rate in force, +Inf if there is no limit.
+func (b *Book) Rate(incarnation string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.entries[incarnation]; e != nil {
+		return e.limit.Rate
+	}
+	return math.Inf(1)
+}
+
+// Reports returns reports for peers: of the limits in force, and of those that have
+// ended lately. If there are more than maxReports, calls return them in turn.
+func (b *Book) Reports(now time.Time) []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Report
+	for incarnation, e := range b.entries {
+		if e.limit.Limited() || now.Sub(e.endedAt) < endedReportTTL {
+			list = append(list, e.limit.report(now, incarnation))
+		}
+	}
+	slices.SortFunc(list, func(x, y Report) int { return cmp.Compare(x.Incarnation, y.Incarnation) })
+	if len(list) <= maxReports {
+		return list
+	}
+	b.next %= len(list)
+	rotated := append(slices.Clone(list[b.next:]), list[:b.next]...)
+	b.next += maxReports
+	return rotated[:maxReports]
+}
+
+// Retain removes the incarnations that are not on the list of upstreams, after a
+// delay.
+func (b *Book) Retain(now time.Time, listed map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for incarnation, e := range b.entries {
+		if listed[incarnation] {
+			e.listedAt = now
+		} else if now.Sub(e.listedAt) > unknownTTL {
+			delete(b.entries, incarnation)
+		}
+	}
+}
+
+// Limits returns the rates in force, by incarnation.
+func (b *Book) Limits() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rates := make(map[string]float64)
+	for incarnation, e := range b.entries {
+		if e.limit.Limited() {
+			rates[incarnation] = e.limit.Rate
+		}
+	}
+	return rates
+}
--- /dev/null
+++ b/internal/permit/permit.go
@@ -0,0 +1,3 @@
+// Package permit keeps the request rates that upstreams announce for all VMs
+// together.
+package permit
