internal/permit: the limit that an upstream names holds for all VMs together

Callers saw nothing; upstreams in need got up to 9 times what they had asked for, and stayed in need.

Cause: Server-Limit was copied to the caller and used by no decision. What looked like one upstream's answer holds for all VMs together, so that each VM's obeying it would not have been enough either.

Change: a VM sends to an upstream with a limit only with a permit. Each of n VMs owns 1/n of each limit and delegates it, for 2 s at a time, to one VM that all choose alike; that one grants permits at the sum of the shares it has. A share counts at one issuer at a time whatever VMs believe of one another (stamps by the issuer's own clock), so the sum holds without a store. Other upstreams are picked first; what only limited ones could take is rejected at once with a time to come back. Scarce permits go by priority, organisation, and first attempts before retries. Limits travel in beacons; the end of one is found by a request every 2 s or so, and VMs return over 4 s.

TestSumHoldsInAnyHistory: random restarts, cuts, lost and late messages, differing views: never more than 4 s of the limit and 3 permits.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
@@ -121,6 +122,10 @@
 	// Retained is the version of the configuration in force if the store came back
 	// from a copy without it, and 0 otherwise.
 	Retained int64 `json:"retained,omitempty" cbor:"23,keyasint,omitempty"`
+	// Limits holds what the VM knows of the limits of upstreams, from any VM.
+	Limits []permit.Report `json:"limits,omitempty" cbor:"24,keyasint,omitempty"`
+	// IssuesPermits is set if other VMs may choose this one to issue permits.
+	IssuesPermits bool `json:"issues_permits,omitempty" cbor:"25,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
@@ -229,6 +234,18 @@
 	return 1 + len(b.peers)
 }
 
+// AddressCount returns the number of addresses at which VMs may run, including this
+// one's.
+func (b *Beacon) AddressCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.addresses)
+	if _, listed := b.addresses[b.self]; !listed {
+		n++
+	}
+	return n
+}
+
 // silenceLimit returns how long the VM at an address may be silent before it
 // counts as dead. In a large fleet not every beacon goes to every VM, so that
 // the limit is longer. The caller holds the lock.
--- a/internal/cacheevents/cacheevents_test.go
+++ b/internal/cacheevents/cacheevents_test.go
@@ -153,7 +153,7 @@
 		return cacheevents.Batch{Epoch: 2, Next: 1}, nil
 	}}
 	table := startFollower(t, source, 1)
-	table.SetStore(roster.Upstream{ID: "store", Address: "10.9.0.1:80"}, 100_000)
+	table.SetStore(roster.Upstream{ID: "store", Address: "10.9.0.1:80"})
 	eventually(t, "the store is used as a source", func() bool { return missingTokens(t, table) == 100 })
 	close(failed)
 	eventually(t, "the store is not used as a source", func() bool { return missingTokens(t, table) > 100 })
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -63,6 +63,7 @@
 		Revisions: v.lastChangeRevisions(), Loads: make(map[string][3]int),
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
+		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -124,6 +125,7 @@
 	for _, u := range m.Updated {
 		v.upstreams.ObserveVersion(now, u.ID, u.Born, u.Version)
 	}
+	v.learnLimits(now, m)
 	v.mergeDesiredAges(now, m.Desired)
 	for _, s := range m.Suspected {
 		metrics.GetOrRegisterCounter("suspicions.received", v.metrics).Inc(1)
@@ -245,6 +247,7 @@
 	serveCollection(mux, "upstreams", v.upstreamFollower)
 	serveCollection(mux, "versions", v.versionFollower)
 	mux.HandleFunc("GET /v1/collections/"+retainedCollection, v.serveRetained)
+	mux.HandleFunc("POST "+permitsPath, v.servePermits)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
 	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
 	return mux
@@ -341,11 +344,7 @@
 		wait.For(ctx, expireInterval)
 		now := v.opts.Now()
 		v.recordUpstreamChanges(now, v.upstreams.RemoveExpired(now))
-		listed := make(map[string]bool)
-		for _, u := range v.upstreams.All() {
-			listed[u.Incarnation()] = true
-		}
-		v.limits.Retain(now, listed)
+		v.maintainLimits(now)
 		// VMs that have recently fallen silent are counted too: a VM that is cut off
 		// from the others still belongs to a large fleet.
 		v.upstreams.SetFleetSize(v.beacon.KnownCount())
--- a/internal/entryvm/sinks.go
+++ b/internal/entryvm/sinks.go
@@ -44,15 +44,13 @@
 // the roster.
 func (v *VM) applyServices(c *routing.Config) {
 	var store roster.Upstream
-	storeTokens := 0
 	for _, s := range c.Services() {
 		if s.StoreAddress != "" {
 			store = roster.Upstream{ID: s.Name, Service: s.Name, Address: s.StoreAddress, DataCentre: s.DataCentre}
-			storeTokens = s.CacheTokens
 		}
 		v.upstreams.SetCacheTokens(s.Name, s.CacheTokens)
 	}
-	v.upstreams.SetStore(store, storeTokens)
+	v.upstreams.SetStore(store)
 }
 
 // upstreamSink applies the upstreams' entries in the store to the roster.
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
@@ -30,9 +31,7 @@
 	Leading   bool                   `json:"leading"`
 	// Suspects holds what is known against requests, by fingerprint.
 	Suspects map[string]ingress.Evidence `json:"suspects"`
-	// Limits holds the rates that upstreams have announced, in requests per second, by
-	// incarnation.
-	Limits map[string]float64 `json:"limits"`
+	Limits   permit.Status               `json:"limits"`
 }
 
 func (v *VM) dump(now time.Time) Dump {
@@ -40,7 +39,7 @@
 		Settings: v.settings, At: now, Ready: v.ready(), Active: v.activeRequests.Load(), Revisions: v.revisions(),
 		Upstreams: v.upstreams.All(), Load: v.upstreams.TotalLoad(now), Avoided: v.upstreams.Avoided(now),
 		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.elector.Fence(), Leading: v.elector.Holds(now),
-		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Limits(),
+		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now),
 	}
 	if c := v.configuration.Current(); c != nil {
 		d.Version = c.Version()
--- a/internal/entryvm/stop.go
+++ b/internal/entryvm/stop.go
@@ -46,6 +46,7 @@
 	start := v.opts.Now()
 	v.drainStarted.Store(start.UnixNano())
 	v.log.Info().Int64("active", v.activeRequests.Load()).Msg("VM is leaving")
+	v.limits.Close()
 	v.beacon.Send(start)
 	end := start.Add(milliseconds(v.settings.StopMS) - killMargin)
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -92,7 +92,7 @@
 	upstreamFollower      *registry.Follower[roster.Upstream]
 	versionFollower       *registry.Follower[platform.DesiredVersion]
 	crashTracker          *ingress.CrashTracker
-	limits                *permit.Book
+	limits                *permit.Agent
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
 	rollout               *rollout.Rollout
@@ -100,6 +100,7 @@
 	beacon                *beacon.Beacon
 	packetConn            net.PacketConn
 	peerClient            *http.Client
+	permitClient          *http.Client
 	metrics               metrics.Registry
 	app                   *kratos.App
 	// activeRequests is the number of callers' requests in progress.
@@ -141,7 +142,6 @@
 		startedAt:     opts.Now(),
 		configuration: &routing.Holder{},
 		crashTracker:  ingress.NewCrashTracker(),
-		limits:        permit.NewBook(),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: peerTimeout},
 		fetching:      make(map[string]bool),
@@ -160,6 +160,7 @@
 	}
 	v.buildFollowers()
 	v.buildRollout()
+	v.buildLimits()
 	v.cacheFollower = cacheevents.New(cacheevents.Options{
 		Source: platform.NewCacheEvents(), Upstreams: v.upstreams, Now: v.opts.Now, FollowShare: v.followShare, Log: v.log,
 	})
@@ -336,7 +337,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries,
+		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run,
 	} {
 		wg.Go(func() { task(taskCtx) })
 	}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -210,7 +210,7 @@
 func (f *fleet) newTable(dc int) *roster.Table {
 	t := roster.New(roster.Options{DataCentre: dataCentreName(dc), Policy: f.policy, VersionLimits: f.deployment.VersionLimits})
 	t.SetCacheTokens(service, f.deployment.Engine.CacheTokens)
-	t.SetStore(roster.Upstream{ID: "store", Address: "10.9.9.9:80"}, f.deployment.StoreTokens)
+	t.SetStore(roster.Upstream{ID: "store", Address: "10.9.9.9:80"})
 	t.SetFleetSize(f.deployment.VMs)
 	for _, e := range f.engines {
 		t.Put(f.loop.Now(), e.upstream)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -50,7 +50,7 @@
 	Dialer        *exchange.Dialer
 	RetryBudget   *RetryBudget
 	CrashTracker  *CrashTracker
-	Limits        *permit.Book
+	Limits        *permit.Agent
 	Fleet         Fleet
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -56,6 +55,7 @@
 	codeBroken      = "upstream_broken"
 	codeDeadline    = "deadline_passed"
 	codeBusy        = "busy"
+	codeLimited     = "upstream_limited"
 )
 
 // Parameters of the exponentially decaying samples of the latency histograms.
@@ -163,7 +163,7 @@
 		return false
 	}
 	switch e.Code {
-	case codeNoUpstream, codeBusy:
+	case codeNoUpstream, codeBusy, codeLimited:
 		return false
 	case codeUnreachable:
 		return j.notSent < maxConnectAttempts
@@ -233,35 +233,12 @@
 	return parts
 }
 
-// checkAdmission refuses a new request that no engine is expected to answer in
-// time: it would only delay the others.
-func (j *job) checkAdmission(now time.Time, c roster.Choice) error {
-	if !j.service.Engine || j.runs+j.rejected+j.notSent > 0 || j.headSent {
-		return nil
-	}
-	retryAfter, late := c.Late(j.route.TargetLatency, j.request.TimeLeft, rand.Int64N)
-	if !late {
-		return nil
-	}
-	j.logEvent(now).Float64("first_ms", c.FirstTokenMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
-	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeBusy, "no engine can answer in time").WithRetryAfter(retryAfter)
-}
-
-// runAttempt sends the request to one upstream and forwards its response. If all
-// upstreams were attempted and the request has not run, all may be chosen again.
+// runAttempt sends the request to one upstream and forwards its response.
 func (j *job) runAttempt(ctx context.Context) error {
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
-	choice, found := j.h.opts.Upstreams.Pick(now, query)
-	if !found && len(j.attempted) > 0 && j.runs == 0 {
-		j.attempted = nil
-		query.Exclude = nil
-		choice, found = j.h.opts.Upstreams.Pick(now, query)
-	}
-	if !found {
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeNoUpstream, "no upstream of the service is known")
-	}
-	if err := j.checkAdmission(now, choice); err != nil {
+	choice, err := j.choose(ctx, now, query)
+	if err != nil {
 		return err
 	}
 	u := choice.Upstream
@@ -297,10 +274,6 @@
 
 // upstreamRequest returns the request as it is sent to the upstream.
 func (a *attempt) upstreamRequest(now time.Time) exchange.Request {
-	priority := a.route.Priority
-	if a.organisation.Priority != nil {
-		priority = *a.organisation.Priority
-	}
 	isolationKey := ""
 	if a.organisation.Isolated {
 		isolationKey = a.organisation.Name
@@ -312,7 +285,7 @@
 		IsolationKey: isolationKey,
 		TimeLeft:     a.deadline.Sub(now),
 		ResumeAfter:  a.lastEvent,
-		Priority:     priority,
+		Priority:     a.priority(),
 		FetchFrom:    a.choice.Source.Address,
 		SaveTo:       a.choice.SaveTo,
 	})
--- a/internal/permit/book.go
+++ b/internal/permit/book.go
@@ -16,6 +16,9 @@
 	// unknownTTL is how long an incarnation stays that is not on the list of upstreams:
 	// news from peers may arrive before the list does.
 	unknownTTL = 10 * time.Second
+	// releasePeriod is the time after the end of a limit in which VMs return one after
+	// the other to sending without permits. Until then permits are at the last rate.
+	releasePeriod = 4 * time.Second
 	// endedReportTTL is how long peers are told about the end of a limit.
 	endedReportTTL = 30 * time.Second
 )
@@ -23,6 +26,8 @@
 // Book holds the limits of all upstreams that have announced one. It is safe for
 // concurrent use.
 type Book struct {
+	vm string
+
 	mu      sync.Mutex
 	entries map[string]*bookEntry
 	// next is the index at which the next Reports begin if there are too many.
@@ -32,16 +37,16 @@
 // bookEntry is what a Book holds about one incarnation.
 type bookEntry struct {
 	limit Limit
-	// last is the lowest rate since the limit was first announced or last lifted, and
-	// endedAt when this VM learned of the end, or zero while there is a limit.
+	// last is the last rate, and endedAt when this VM learned of the end of the limit,
+	// or zero while there is one.
 	last    float64
 	endedAt time.Time
 	// listedAt is when the incarnation was last on the list of upstreams.
 	listedAt time.Time
 }
 
-// NewBook returns an empty Book.
-func NewBook() *Book { return &Book{entries: make(map[string]*bookEntry)} }
+// NewBook returns the empty Book of a VM.
+func NewBook(vm string) *Book { return &Book{vm: vm, entries: make(map[string]*bookEntry)} }
 
 // Observe records the rate that a response announces, +Inf if it announces none. It
 // reports whether the rate in force has changed.
@@ -52,7 +57,16 @@
 // Learn records a report of a peer. It reports whether the rate in force has changed.
 func (b *Book) Learn(now time.Time, r Report) bool {
 	l, ok := r.limit(now)
-	return ok && b.merge(now, r.Incarnation, l)
+	return ok && !b.isEcho(r.Incarnation, l) && b.merge(now, r.Incarnation, l)
+}
+
+// isEcho reports whether a report says what is known already and may look newer only
+// since it was on its way. VMs that tell one another would make it ever newer.
+func (b *Book) isEcho(incarnation string, l Limit) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[incarnation]
+	return e != nil && e.limit.Rate == l.Rate && l.ReceivedAt.Sub(e.limit.ReceivedAt) <= peerDelay
 }
 
 func (b *Book) merge(now time.Time, incarnation string, l Limit) bool {
@@ -87,6 +101,90 @@
 	return math.Inf(1)
 }
 
+// enforcedRate returns the rate at which permits are issued, +Inf without a limit.
+func (b *Book) enforcedRate(now time.Time, incarnation string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.entries[incarnation]; e != nil && e.inForce(now) {
+		return e.last
+	}
+	return math.Inf(1)
+}
+
+// enforcedRates returns the rates at which permits are issued, by incarnation.
+func (b *Book) enforcedRates(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rates := make(map[string]float64)
+	for incarnation, e := range b.entries {
+		if e.inForce(now) {
+			rates[incarnation] = e.last
+		}
+	}
+	return rates
+}
+
+// Limited reports whether requests of this VM to an upstream need a permit. After the
+// end of a limit they still do for a while, which differs between VMs so that not all
+// return at once.
+func (b *Book) Limited(now time.Time, incarnation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[incarnation]
+	return e != nil && (e.limit.Limited() || now.Sub(e.endedAt) < releaseDelay(b.vm, incarnation))
+}
+
+// Any reports whether permits are needed for any upstream.
+func (b *Book) Any(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.entries {
+		if e.inForce(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// inForce reports whether permits are issued at a limited rate.
+func (e *bookEntry) inForce(now time.Time) bool {
+	return e.limit.Limited() || now.Sub(e.endedAt) < releasePeriod
+}
+
+// shardsInUse returns the shards of the upstreams for which permits are needed.
+func (b *Book) shardsInUse(now time.Time) map[int]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := make(map[int]bool)
+	for incarnation, e := range b.entries {
+		if e.inForce(now) {
+			used[shardOf(incarnation)] = true
+		}
+	}
+	return used
+}
+
+// announcedAt returns when the last news of an incarnation's limit was announced.
+func (b *Book) announcedAt(incarnation string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.entries[incarnation]; e != nil {
+		return e.limit.ReceivedAt
+	}
+	return time.Time{}
+}
+
+// report returns what is known of an incarnation.
+func (b *Book) report(now time.Time, incarnation string) (r Report, known bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[incarnation]
+	if e == nil {
+		return Report{}, false
+	}
+	return e.limit.report(now, incarnation), true
+}
+
 // Reports returns reports for peers: of the limits in force, and of those that have
 // ended lately. If there are more than maxReports, calls return them in turn.
 func (b *Book) Reports(now time.Time) []Report {
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -27,7 +27,6 @@
 	load           Load
 	firstTokenOnce sync.Once
 	finishOnce     sync.Once
-	upstream       Upstream
 	startedAt      time.Time
 }
 
@@ -46,7 +45,7 @@
 	if !t.partialView && len(shared) > 0 && len(t.sent) < maxSent {
 		t.sent = append(t.sent, Sent{u.ID, shared, unshared})
 	}
-	return &InFlight{table: t, id: u.ID, load: load, upstream: u, startedAt: now}
+	return &InFlight{table: t, id: u.ID, load: load, startedAt: now}
 }
 
 // FirstToken records the arrival of the first token. waitMS is the WaitMS of
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -100,6 +100,8 @@
 	Model                        string
 	// Exclude lists the IDs of upstreams that have been attempted already.
 	Exclude []string
+	// Allow reports whether an upstream may be picked. Nil allows all.
+	Allow func(Upstream) bool
 }
 
 // Choice is the picked upstream and the estimates behind the pick.
@@ -150,6 +152,9 @@
 		if u.Service != q.Service || u.Leaving || u.Version < oldestAllowed || slices.Contains(q.Exclude, u.ID) {
 			continue
 		}
+		if q.Allow != nil && !q.Allow(u) {
+			continue
+		}
 		list = append(list, m)
 	}
 	if len(list) == 0 {
--- a/internal/roster/promptstore.go
+++ b/internal/roster/promptstore.go
@@ -12,15 +12,13 @@
 // their weights.
 type promptStore struct {
 	upstream Upstream
-	capacity int
 	cached   *promptcache.Estimate
 	// up reports whether the store has responded lately.
 	up bool
 }
 
-// SetStore sets the prompt store and its capacity in tokens. An empty address
-// means that there is none.
-func (t *Table) SetStore(u Upstream, tokens int) {
+// SetStore sets the prompt store. An empty address means that there is none.
+func (t *Table) SetStore(u Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u.Address == "" {
@@ -30,7 +28,6 @@
 	if t.promptStore == nil || t.promptStore.upstream != u {
 		t.promptStore = &promptStore{upstream: u, cached: promptcache.New()}
 	}
-	t.promptStore.capacity = tokens
 }
 
 // Store returns the prompt store, if there is one.
