internal/roster: prompts of an engine at its limit are fetched from it

An engine whose limit is reached gets no request, and was no source of cached parts either, so that its prompts were computed again elsewhere. Sources are now looked for among all usable engines. TestFetchFromEngineThatMayNotBePicked fails without it.

--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -145,17 +145,18 @@
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []*member
+	// What is cached can also be fetched from upstreams that may not be picked.
+	var list, usable []*member
 	oldestAllowed := t.desired.OldestAllowed(now, q.Model, t.disruptions, t.opts.VersionLimits)
 	for _, m := range t.members {
 		u := m.upstream
 		if u.Service != q.Service || u.Leaving || u.Version < oldestAllowed || slices.Contains(q.Exclude, u.ID) {
 			continue
 		}
-		if q.Allow != nil && !q.Allow(u) {
-			continue
+		usable = append(usable, m)
+		if q.Allow == nil || q.Allow(u) {
+			list = append(list, m)
 		}
-		list = append(list, m)
 	}
 	if len(list) == 0 {
 		return Choice{}, false
@@ -163,9 +164,9 @@
 	t.peers.expire(now)
 	var best Choice
 	if t.partialView && len(q.Parts) > 0 && t.opts.Policy.Rule == ByPrompt {
-		best = t.pickRendezvous(now, list, q)
+		best = t.pickRendezvous(now, list, usable, q)
 	} else {
-		best = t.pickByCost(now, list, q)
+		best = t.pickByCost(now, list, usable, q)
 	}
 	best.Candidates = len(list)
 	excessMS := float64(max(0, best.MissingTokens-maxAdmissionTokens)) / t.opts.Policy.PrefillTokensPerMS
@@ -180,10 +181,11 @@
 	return best, true
 }
 
-// pickByCost compares the costs of all upstreams.
-func (t *Table) pickByCost(now time.Time, list []*member, q Query) Choice {
+// pickByCost compares the costs of the upstreams in list. Cached parts may be fetched
+// from all usable ones.
+func (t *Table) pickByCost(now time.Time, list, usable []*member, q Query) Choice {
 	home := t.home(list, q)
-	sources := t.sources(now, list, q.Parts)
+	sources := t.sources(now, usable, q.Parts)
 	best := Choice{}
 	for _, m := range list {
 		best = best.betterOf(t.choiceByCost(now, m, q, m == home, sources))
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -346,3 +346,20 @@
 		t.Errorf("ages to send (-want +got):\n%s", diff)
 	}
 }
+
+// TestFetchFromEngineThatMayNotBePicked checks that the prompts of an engine that takes
+// no more requests are fetched from it, in small and large fleets.
+func TestFetchFromEngineThatMayNotBePicked(t *testing.T) {
+	for _, vms := range []int{3, roster.MaxFullViewVMs + 1} {
+		tb := table(engines(4, 1)...)
+		tb.SetFleetSize(vms)
+		first := pick(t, tb, start, query())
+		tb.Start(start, first.Upstream, roster.Load{}, parts, 2_000).Finish()
+		q := query()
+		q.Allow = func(u roster.Upstream) bool { return u.ID != first.Upstream.ID }
+		second := pick(t, tb, start.Add(time.Second), q)
+		if second.Upstream.ID == first.Upstream.ID || second.Source.ID != first.Upstream.ID {
+			t.Errorf("%d VMs: picked %s after %s, parts fetched from %q", vms, second.Upstream.ID, first.Upstream.ID, second.Source.ID)
+		}
+	}
+}
--- a/internal/roster/rendezvous.go
+++ b/internal/roster/rendezvous.go
@@ -31,14 +31,14 @@
 	rankPenaltyMS = 15
 )
 
-// pickRendezvous returns the prompt's home, or another engine if the home is
-// busy.
-func (t *Table) pickRendezvous(now time.Time, list []*member, q Query) Choice {
+// pickRendezvous returns the prompt's home among the engines in list, or another one if
+// the home is busy. Cached parts may be fetched from all usable engines.
+func (t *Table) pickRendezvous(now time.Time, list, usable []*member, q Query) Choice {
 	key := promptKey(q)
 	byRank := func(a, b *member) int { return cmp.Compare(b.rendezvousWeight(key), a.rendezvousWeight(key)) }
 	ranked := make([]*member, 0, rendezvousCandidates+1)
 	sources := make(map[int64]*rendezvousSources)
-	for _, m := range list {
+	for _, m := range usable {
 		s := sources[m.upstream.Version]
 		if s == nil {
 			s = &rendezvousSources{stored: t.storeSource(now, m.upstream.Version, q.Parts)}
@@ -50,7 +50,7 @@
 		// An engine that is about to change its weights can still serve as a
 		// source.
 		s.add(m, byRank)
-		if m.isLoading(now) {
+		if m.isLoading(now) || len(list) < len(usable) && !slices.Contains(list, m) {
 			continue
 		}
 		if i, _ := slices.BinarySearchFunc(ranked, m, byRank); i < rendezvousCandidates {
