--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -14,7 +14,9 @@
 func (h *Handler) observeLimit(now time.Time, u roster.Upstream, head ResponseHead, sentAt time.Time) {
 	if head.RateLimitProblem != "" {
 		h.incCounter("limits.unusable")
-		h.opts.Log.Warn().Str("upstream", u.ID).Str("problem", head.RateLimitProblem).Msg("limit of an upstream not usable")
+		if h.opts.Limits.RecordProblem(u.Incarnation(), head.RateLimitProblem) {
+			h.opts.Log.Warn().Str("upstream", u.ID).Str("problem", head.RateLimitProblem).Msg("limit of an upstream not usable")
+		}
 		return
 	}
 	if h.opts.Limits.Observe(now, u.Incarnation(), head.RateLimit, sentAt) {
--- a/internal/permit/book.go
+++ b/internal/permit/book.go
@@ -30,6 +30,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*bookEntry
+	// problems holds the last limit of each incarnation that could not be decoded.
+	problems map[string]string
 	// next is the index at which the next Reports begin if there are too many.
 	next int
 }
@@ -46,7 +48,9 @@
 }
 
 // NewBook returns the empty Book of a VM.
-func NewBook(vm string) *Book { return &Book{vm: vm, entries: make(map[string]*bookEntry)} }
+func NewBook(vm string) *Book {
+	return &Book{vm: vm, entries: make(map[string]*bookEntry), problems: make(map[string]string)}
+}
 
 // Observe records the rate that a response announces, +Inf if it announces none. It
 // reports whether the rate in force has changed.
@@ -218,6 +222,23 @@
 			delete(b.entries, incarnation)
 		}
 	}
+	for incarnation := range b.problems {
+		if !listed[incarnation] {
+			delete(b.problems, incarnation)
+		}
+	}
+}
+
+// RecordProblem records a limit that can't be decoded. The limit in force stays. It
+// reports whether the problem is a new one of that incarnation.
+func (b *Book) RecordProblem(incarnation, problem string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.problems[incarnation] == problem || len(b.problems) >= maxEntries {
+		return false
+	}
+	b.problems[incarnation] = problem
+	return true
 }
 
 // Limits returns the rates in force, by incarnation.
