--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -27,10 +27,10 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 )
 
 // State is the stage of a VM's life.
@@ -118,7 +118,7 @@
 	Peers []string `json:"peers,omitempty" cbor:"21,keyasint,omitempty"`
 	// SuspectReports holds news of requests that may crash upstreams, from any VM, and
 	// repeats some of what is known of those that do.
-	SuspectReports []ingress.SuspectReport `json:"suspect_reports,omitempty" cbor:"22,keyasint,omitempty"`
+	SuspectReports []suspect.Report `json:"suspect_reports,omitempty" cbor:"22,keyasint,omitempty"`
 	// Retained is the version of the configuration in force if the store came back
 	// from a copy without it, and 0 otherwise.
 	Retained int64 `json:"retained,omitempty" cbor:"23,keyasint,omitempty"`
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -52,7 +52,7 @@
 	VersionMS      int `json:"version_ms"`
 	VersionTotalMS int `json:"version_total_ms"`
 	// RetryRatio, RetrySlack and RetryWindowMS set the retry budget; see
-	// ingress.RetryBudgetOptions.
+	// retry.BudgetOptions.
 	RetryRatio    float64 `json:"retry_ratio"`
 	RetrySlack    float64 `json:"retry_slack"`
 	RetryWindowMS int     `json:"retry_window_ms"`
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
-	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
@@ -30,7 +30,7 @@
 	Fence     uint64                 `json:"fence"`
 	Leading   bool                   `json:"leading"`
 	// Suspects holds what is known against requests, by fingerprint.
-	Suspects map[string]ingress.Evidence `json:"suspects"`
+	Suspects map[string]suspect.Evidence `json:"suspects"`
 	Limits   permit.Status               `json:"limits"`
 }
 
--- a/internal/entryvm/suspects.go
+++ b/internal/entryvm/suspects.go
@@ -7,8 +7,8 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 	"github.com/hibiscuscove/hibiscuscove/platform"
 )
@@ -18,7 +18,7 @@
 const suspectsInterval = 300 * time.Millisecond
 
 // mergeSuspect adds what a peer or the store reports of a request, and logs news.
-func (v *VM) mergeSuspect(now time.Time, source string, r ingress.SuspectReport) {
+func (v *VM) mergeSuspect(now time.Time, source string, r suspect.Report) {
 	if !v.crashTracker.Merge(now, r) {
 		return
 	}
@@ -44,7 +44,7 @@
 			}
 			age := max(0, now.Sub(time.UnixMilli(item.Value.WrittenMS)))
 			v.mergeSuspect(now, "store", item.Value.Older(age))
-			if age > 2*ingress.SuspectTTL {
+			if age > 2*suspect.TTL {
 				// Its writer no longer exists.
 				v.deleteSuspect(ctx, item.Name)
 			}
@@ -69,7 +69,7 @@
 			if _, known := stored[r.Fingerprint]; known {
 				continue
 			}
-			if err := v.store.AddSuspect(ctx, platform.StoredSuspect{SuspectReport: r, WrittenMS: now.UnixMilli()}); err != nil {
+			if err := v.store.AddSuspect(ctx, platform.StoredSuspect{Report: r, WrittenMS: now.UnixMilli()}); err != nil {
 				v.log.Warn().Str("fingerprint", r.Fingerprint).Err(err).Msg("suspect request not stored")
 				wait.For(ctx, registerBackoff)
 				break
@@ -78,7 +78,7 @@
 			v.log.Info().Str("fingerprint", r.Fingerprint).Msg("suspect request stored")
 		}
 		for fingerprint, at := range stored {
-			if now.Sub(at) > ingress.SuspectTTL {
+			if now.Sub(at) > suspect.TTL {
 				delete(stored, fingerprint)
 				v.deleteSuspect(ctx, fingerprint)
 			}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -41,9 +41,11 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/retry"
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/platform"
 )
 
@@ -91,7 +93,7 @@
 	upstreams             *roster.Table
 	upstreamFollower      *registry.Follower[roster.Upstream]
 	versionFollower       *registry.Follower[platform.DesiredVersion]
-	crashTracker          *ingress.CrashTracker
+	crashTracker          *suspect.Tracker
 	limits                *permit.Agent
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
@@ -141,7 +143,7 @@
 		incarnation:   opts.Now().UnixMilli(),
 		startedAt:     opts.Now(),
 		configuration: &routing.Holder{},
-		crashTracker:  ingress.NewCrashTracker(),
+		crashTracker:  suspect.NewTracker(),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: peerTimeout},
 		fetching:      make(map[string]bool),
@@ -228,7 +230,7 @@
 }
 
 func (v *VM) buildServers() error {
-	retryBudget := ingress.NewRetryBudget(ingress.RetryBudgetOptions{
+	retryBudget := retry.NewBudget(retry.BudgetOptions{
 		Ratio: v.settings.RetryRatio, Slack: v.settings.RetrySlack, Window: milliseconds(v.settings.RetryWindowMS), VMs: v.beacon.KnownCount, Start: v.opts.Now(),
 	})
 	handler := ingress.NewHandler(ingress.Options{
--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -6,18 +6,14 @@
 	"net/http"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/admission"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
-const (
-	// maxPermitRequests limits the upstreams for which an attempt asks for a permit.
-	maxPermitRequests = 3
-	// retryTimeLeftDivisor limits the advised delay, before its jitter, to a part of
-	// the time that the caller has left.
-	retryTimeLeftDivisor = 4
-)
+// maxPermitRequests limits the upstreams for which an attempt asks for a permit.
+const maxPermitRequests = 3
 
 // choose picks the upstream of the next attempt. Upstreams that have announced a
 // limit get requests that no other one can serve in time, and now and then one that
@@ -80,11 +76,7 @@
 // refuseLimited returns the error for a request that only limited upstreams could
 // take. u is the best one.
 func (j *job) refuseLimited(now time.Time, u roster.Upstream) error {
-	retryAfter := j.h.opts.Limits.RetryAfter(now, u.Incarnation())
-	if left := j.request.TimeLeft; left > 0 {
-		retryAfter = min(retryAfter, left/retryTimeLeftDivisor)
-	}
-	retryAfter = retryAfter*3/4 + time.Duration(rand.Int64N(int64(retryAfter/2)+1))
+	retryAfter := admission.RetryAfter(j.h.opts.Limits.RetryAfter(now, u.Incarnation()), j.request.TimeLeft, rand.Int64N)
 	j.logEvent(now).Str("upstream", u.ID).Func(j.h.logLimit(u)).Int64("retry_after_ms", retryAfter.Milliseconds()).Msg("upstreams at their limits")
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeLimited, "all upstreams of the service are at the limits that they have announced").
 		WithObject("upstream/"+u.ID, "").WithRetryAfter(retryAfter)
@@ -96,15 +88,16 @@
 // isLate reports whether a new request is expected to get its first token too late.
 // Attempts after the first are never late.
 func (j *job) isLate(c roster.Choice) bool {
-	_, late := j.lateness(c)
+	_, late := j.delay(c)
 	return late
 }
 
-func (j *job) lateness(c roster.Choice) (retryAfter time.Duration, late bool) {
+// delay returns after what time a late request should come back.
+func (j *job) delay(c roster.Choice) (delay time.Duration, late bool) {
 	if !j.service.Engine || !j.isFirst() {
 		return 0, false
 	}
-	return c.Late(j.route.TargetLatency, j.request.TimeLeft, rand.Int64N)
+	return admission.Late(c.FirstToken(), j.route.TargetLatency)
 }
 
 // checkChoice returns an error if there is no upstream, or if no engine is expected
@@ -113,10 +106,11 @@
 	if !found {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeNoUpstream, "no upstream of the service is known")
 	}
-	retryAfter, late := j.lateness(c)
+	delay, late := j.delay(c)
 	if !late {
 		return nil
 	}
+	retryAfter := admission.RetryAfter(delay, j.request.TimeLeft, rand.Int64N)
 	j.logEvent(now).Float64("first_ms", c.FirstTokenMS).Float64("cost_ms", c.CostMS).Int("candidates", c.Candidates).Msg("no engine in time")
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeBusy, "no engine can answer in time").WithRetryAfter(retryAfter)
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -1,7 +1,7 @@
 // Package ingress is the front end for host-and-path traffic. It matches a
 // caller's request to a route, sends it to an upstream and forwards the response
 // completely and in order. Requests are retried on other upstreams within the
-// limits of their route and of a RetryBudget. Package request is the front end
+// limits of their route and of a retry.Budget. Package request is the front end
 // for the router's own API.
 //
 // # Usage
@@ -28,8 +28,10 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
+	"github.com/hibiscuscove/hibiscuscove/internal/retry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -48,8 +50,8 @@
 	Configuration *routing.Holder
 	Upstreams     *roster.Table
 	Dialer        *exchange.Dialer
-	RetryBudget   *RetryBudget
-	CrashTracker  *CrashTracker
+	RetryBudget   *retry.Budget
+	CrashTracker  *suspect.Tracker
 	Limits        *permit.Agent
 	Fleet         Fleet
 	Metrics       metrics.Registry
--- a/internal/ingress/retry_budget.go
+++ b/internal/retry/budget.go
@@ -1,12 +1,23 @@
-package ingress
+// Package retry limits the retries of one VM to its share of a budget that the users'
+// platform sets for all VMs together. Package limit has the budgets of the router's
+// own API, which are by node.
+//
+// # Usage
+//
+//	budget := retry.NewBudget(retry.BudgetOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, ...})
+//	budget.RecordRequest(now, service)
+//	if budget.Allow(now, service) {
+//		// Send the request once more.
+//	}
+package retry
 
 import (
 	"sync"
 	"time"
 )
 
-// RetryBudgetOptions configures a RetryBudget.
-type RetryBudgetOptions struct {
+// BudgetOptions configures a Budget.
+type BudgetOptions struct {
 	// Ratio is the number of retries that the platform allows per request to a service.
 	Ratio float64
 	// Slack is the number of further retries per window that all VMs share.
@@ -20,10 +31,10 @@
 	Start time.Time
 }
 
-// RetryBudget is this VM's share of the retry budget of all VMs, per service.
+// Budget is this VM's share of the retry budget of all VMs, per service.
 // It is safe for concurrent use.
-type RetryBudget struct {
-	opts RetryBudgetOptions
+type Budget struct {
+	opts BudgetOptions
 
 	mu       sync.Mutex
 	services map[string]*retryWindow
@@ -39,13 +50,13 @@
 // that are in flight between two windows.
 const usableShare = 0.8
 
-// NewRetryBudget returns a RetryBudget without any requests.
-func NewRetryBudget(opts RetryBudgetOptions) *RetryBudget {
-	return &RetryBudget{opts: opts, services: make(map[string]*retryWindow)}
+// NewBudget returns a Budget without any requests.
+func NewBudget(opts BudgetOptions) *Budget {
+	return &Budget{opts: opts, services: make(map[string]*retryWindow)}
 }
 
 // RecordRequest records a caller's request to a service.
-func (b *RetryBudget) RecordRequest(now time.Time, service string) {
+func (b *Budget) RecordRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.serviceWindow(now, service)
@@ -54,7 +65,7 @@
 
 // Allow reports whether a request to the service may be retried, and records
 // the retry if so.
-func (b *RetryBudget) Allow(now time.Time, service string) bool {
+func (b *Budget) Allow(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.serviceWindow(now, service)
@@ -71,7 +82,7 @@
 
 // serviceWindow returns the service's window, without entries that have left it.
 // The caller holds the lock.
-func (b *RetryBudget) serviceWindow(now time.Time, service string) *retryWindow {
+func (b *Budget) serviceWindow(now time.Time, service string) *retryWindow {
 	w := b.services[service]
 	if w == nil {
 		w = &retryWindow{}
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -140,6 +140,11 @@
 	idle bool
 }
 
+// FirstToken returns FirstTokenMS as a duration.
+func (c Choice) FirstToken() time.Duration {
+	return time.Duration(c.FirstTokenMS * float64(time.Millisecond))
+}
+
 // Pick returns the upstream with the lowest cost for the request. It returns
 // false if no upstream is allowed.
 func (t *Table) Pick(now time.Time, q Query) (Choice, bool) {
--- a/internal/ingress/suspect_report.go
+++ b/internal/suspect/report.go
@@ -1,4 +1,4 @@
-package ingress
+package suspect
 
 import (
 	"cmp"
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// SuspectReport is what a VM knows against a request. Its CBOR keys are part of
+// Report is what a VM knows against a request. Its CBOR keys are part of
 // the protocol between VMs, its JSON fields part of what is kept in the store.
-type SuspectReport struct {
+type Report struct {
 	Fingerprint string         `json:"fingerprint" cbor:"1,keyasint"`
 	Broken      []BrokenReport `json:"broken" cbor:"2,keyasint"`
 }
@@ -25,7 +25,7 @@
 }
 
 // Older returns the report after some more time.
-func (r SuspectReport) Older(by time.Duration) SuspectReport {
+func (r Report) Older(by time.Duration) Report {
 	r.Broken = slices.Clone(r.Broken)
 	for i := range r.Broken {
 		r.Broken[i].AgeMS += by.Milliseconds()
@@ -47,7 +47,7 @@
 )
 
 // markFresh makes the next reports include a suspect. The caller holds the lock.
-func (t *CrashTracker) markFresh(fingerprint string) {
+func (t *Tracker) markFresh(fingerprint string) {
 	if t.roundsLeft[fingerprint] == 0 {
 		t.fresh = append(t.fresh, fingerprint)
 	}
@@ -56,14 +56,14 @@
 
 // Reports returns what the next beacon tells peers: news first, then some of the
 // blocked requests, in turn.
-func (t *CrashTracker) Reports(now time.Time) []SuspectReport {
+func (t *Tracker) Reports(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// Those with the most evidence first: a mass crash makes many suspects.
 	slices.SortStableFunc(t.fresh, func(a, b string) int {
 		return cmp.Compare(t.evidence(now, b).Crashes, t.evidence(now, a).Crashes)
 	})
-	var list []SuspectReport
+	var list []Report
 	var later []string
 	for i, fingerprint := range t.fresh {
 		if len(list) == maxReports-repeatedReports {
@@ -89,7 +89,7 @@
 
 // nextBlocked returns the blocked requests whose turn it is to be repeated. The
 // caller holds the lock.
-func (t *CrashTracker) nextBlocked(now time.Time) []string {
+func (t *Tracker) nextBlocked(now time.Time) []string {
 	blocked := t.blocked(now)
 	if len(blocked) <= repeatedReports {
 		return blocked
@@ -108,7 +108,7 @@
 
 // blocked returns the fingerprints of the requests that have crashed too many
 // upstreams, in order. The caller holds the lock.
-func (t *CrashTracker) blocked(now time.Time) []string {
+func (t *Tracker) blocked(now time.Time) []string {
 	var list []string
 	for fingerprint := range t.mayBlock {
 		if t.evidence(now, fingerprint).Blocked() {
@@ -121,10 +121,10 @@
 
 // OwnBlocked returns the reports of blocked requests that have run through this
 // VM, for the store.
-func (t *CrashTracker) OwnBlocked(now time.Time) []SuspectReport {
+func (t *Tracker) OwnBlocked(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []SuspectReport
+	var list []Report
 	for _, fingerprint := range t.blocked(now) {
 		if t.suspects[fingerprint].own {
 			list = append(list, t.report(now, fingerprint))
@@ -135,8 +135,8 @@
 
 // report returns the report of a suspect with its crashes first and the latest
 // responses next. The caller holds the lock.
-func (t *CrashTracker) report(now time.Time, fingerprint string) SuspectReport {
-	r := SuspectReport{Fingerprint: fingerprint}
+func (t *Tracker) report(now time.Time, fingerprint string) Report {
+	r := Report{Fingerprint: fingerprint}
 	broken := t.suspects[fingerprint].broken
 	for _, incarnation := range slices.Sorted(maps.Keys(broken)) {
 		b := broken[incarnation]
@@ -157,13 +157,13 @@
 
 // Merge adds a report of a peer or of the store. It reports whether the report
 // told anything new, and passes news on with the next reports.
-func (t *CrashTracker) Merge(now time.Time, r SuspectReport) bool {
+func (t *Tracker) Merge(now time.Time, r Report) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.evidence(now, r.Fingerprint)
 	for _, b := range r.Broken {
 		age := time.Duration(b.AgeMS) * time.Millisecond
-		if age < 0 || age > SuspectTTL {
+		if age < 0 || age > TTL {
 			continue
 		}
 		t.merge(now, r.Fingerprint, b.Incarnation, brokenResponse{aliveAt: now.Add(-age), cut: b.Cut, crashed: b.Crashed})
--- a/internal/ingress/crash_tracker.go
+++ b/internal/suspect/tracker.go
@@ -1,4 +1,17 @@
-package ingress
+// Package suspect finds out which requests crash the upstreams that run them, so that
+// no VM sends them again.
+//
+// # Usage
+//
+//	tracker := suspect.NewTracker()
+//	tracker.RecordUnanswered(now, aliveAt, fingerprint, incarnation, true)
+//	tracker.RecordEnded(now, changes) // of the list of upstreams
+//	if tracker.IsBlocked(now, fingerprint) {
+//		// Reject the request.
+//	}
+//
+// VMs exchange what they know: Reports returns what to tell, Merge takes it.
+package suspect
 
 import (
 	"sync"
@@ -15,8 +28,8 @@
 	crashesToBlock = 2
 	cutsToHold     = 4
 	holdPeriod     = 8 * time.Second
-	// SuspectTTL is how long a broken response counts against a request.
-	SuspectTTL  = 10 * time.Minute
+	// TTL is how long a broken response counts against a request.
+	TTL         = 10 * time.Minute
 	maxSuspects = 4096
 	// suspectsAfterEviction leaves room, so that not each new suspect evicts another.
 	suspectsAfterEviction = maxSuspects * 3 / 4
@@ -28,15 +41,15 @@
 	maxIncarnations = 64
 )
 
-// CrashTracker detects requests that crash the upstreams that run them. A request
+// Tracker detects requests that crash the upstreams that run them. A request
 // becomes suspect when an upstream does not complete the response. This counts as
 // a crash when that incarnation of the upstream is seen to have ended within
 // maxEndDelay. Requests are identified by their fingerprint. VMs exchange what
-// they know as SuspectReports. A CrashTracker is safe for concurrent use.
-type CrashTracker struct {
+// they know as Reports. A Tracker is safe for concurrent use.
+type Tracker struct {
 	mu sync.Mutex
 	// suspects is keyed by fingerprint.
-	suspects map[string]*suspect
+	suspects map[string]*entry
 	// ended maps an incarnation to when its end was seen.
 	ended map[string]time.Time
 	// mayBlock holds the fingerprints with enough crashes to block the request, also
@@ -51,8 +64,8 @@
 	repeatAfter string
 }
 
-// suspect holds what is known against one request.
-type suspect struct {
+// entry holds what is known against one request.
+type entry struct {
 	// broken is keyed by incarnation.
 	broken map[string]brokenResponse
 	// completedAt is when the request last ran to completion on this VM. Earlier
@@ -73,10 +86,10 @@
 	crashed bool
 }
 
-// NewCrashTracker returns a CrashTracker without suspects.
-func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{
-		suspects:   make(map[string]*suspect),
+// NewTracker returns a Tracker without suspects.
+func NewTracker() *Tracker {
+	return &Tracker{
+		suspects:   make(map[string]*entry),
 		ended:      make(map[string]time.Time),
 		mayBlock:   make(map[string]bool),
 		roundsLeft: make(map[string]int),
@@ -86,7 +99,7 @@
 // RecordUnanswered records that an incarnation did not complete its response to a
 // request of this VM. aliveAt is the last sign of life of the incarnation. cut is set
 // if the incarnation broke the response off.
-func (t *CrashTracker) RecordUnanswered(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
+func (t *Tracker) RecordUnanswered(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordBroken(now, aliveAt, fingerprint, incarnation, cut)
@@ -95,23 +108,23 @@
 
 // RecordBroken records that an incarnation broke off its response to a request,
 // according to a peer.
-func (t *CrashTracker) RecordBroken(now time.Time, fingerprint, incarnation string) {
+func (t *Tracker) RecordBroken(now time.Time, fingerprint, incarnation string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordBroken(now, now, fingerprint, incarnation, true)
 }
 
-func (t *CrashTracker) recordBroken(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
+func (t *Tracker) recordBroken(now, aliveAt time.Time, fingerprint, incarnation string, cut bool) {
 	end, ended := t.ended[incarnation]
 	t.merge(now, fingerprint, incarnation, brokenResponse{aliveAt: aliveAt, cut: cut, crashed: ended && isCrash(aliveAt, end)})
 }
 
 // merge adds what is known of one response. The caller holds the lock.
-func (t *CrashTracker) merge(now time.Time, fingerprint, incarnation string, b brokenResponse) {
+func (t *Tracker) merge(now time.Time, fingerprint, incarnation string, b brokenResponse) {
 	s := t.suspects[fingerprint]
 	if s == nil {
 		t.evictSuspects(now)
-		s = &suspect{broken: make(map[string]brokenResponse)}
+		s = &entry{broken: make(map[string]brokenResponse)}
 		t.suspects[fingerprint] = s
 	}
 	old, known := s.broken[incarnation]
@@ -143,7 +156,7 @@
 // RecordEnded records the incarnations that ended according to changes of the
 // upstream list. The end of a leaving upstream is no crash, and an upstream whose
 // entry has expired in an outage of the store may be alive.
-func (t *CrashTracker) RecordEnded(now time.Time, changes []roster.Change) {
+func (t *Tracker) RecordEnded(now time.Time, changes []roster.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ended := make(map[string]bool)
@@ -164,7 +177,7 @@
 		}
 	}
 	for incarnation, at := range t.ended {
-		if now.Sub(at) > SuspectTTL {
+		if now.Sub(at) > TTL {
 			delete(t.ended, incarnation)
 		}
 	}
@@ -172,7 +185,7 @@
 
 // RecordCompleted records that an upstream completed its response to the request.
 // What was known against the request before does not count any more on this VM.
-func (t *CrashTracker) RecordCompleted(now time.Time, fingerprint string) {
+func (t *Tracker) RecordCompleted(now time.Time, fingerprint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.suspects[fingerprint]; s != nil {
@@ -182,7 +195,7 @@
 
 // IsBlocked reports whether the request must not be sent: it has crashed too many
 // upstreams, or several have broken off their responses to it lately.
-func (t *CrashTracker) IsBlocked(now time.Time, fingerprint string) bool {
+func (t *Tracker) IsBlocked(now time.Time, fingerprint string) bool {
 	e := t.Evidence(now, fingerprint)
 	return e.Blocked() || e.Held()
 }
@@ -205,14 +218,14 @@
 func (e Evidence) Held() bool { return !e.Blocked() && e.CutLately >= cutsToHold }
 
 // Evidence returns what is known against the request.
-func (t *CrashTracker) Evidence(now time.Time, fingerprint string) Evidence {
+func (t *Tracker) Evidence(now time.Time, fingerprint string) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.evidence(now, fingerprint)
 }
 
 // evidence implements Evidence. The caller holds the lock.
-func (t *CrashTracker) evidence(now time.Time, fingerprint string) Evidence {
+func (t *Tracker) evidence(now time.Time, fingerprint string) Evidence {
 	var e Evidence
 	s := t.suspects[fingerprint]
 	if s == nil {
@@ -220,7 +233,7 @@
 	}
 	for _, b := range s.broken {
 		age := now.Sub(b.aliveAt)
-		if age > SuspectTTL || !b.aliveAt.After(s.completedAt) {
+		if age > TTL || !b.aliveAt.After(s.completedAt) {
 			continue
 		}
 		e.Broken++
@@ -235,7 +248,7 @@
 }
 
 // Entries returns the evidence against all suspects by fingerprint, for operators.
-func (t *CrashTracker) Entries(now time.Time) map[string]Evidence {
+func (t *Tracker) Entries(now time.Time) map[string]Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entries := make(map[string]Evidence, len(t.suspects))
@@ -250,7 +263,7 @@
 // evictSuspects makes room for new suspects if the limit is reached: it deletes
 // those that no longer count, then arbitrary ones, blocked requests last. The caller
 // holds the lock.
-func (t *CrashTracker) evictSuspects(now time.Time) {
+func (t *Tracker) evictSuspects(now time.Time) {
 	if len(t.suspects) < maxSuspects {
 		return
 	}
