--- a/internal/permit/book.go
+++ b/internal/permit/book.go
@@ -17,8 +17,10 @@
 	// news from peers may arrive before the list does.
 	unknownTTL = 10 * time.Second
 	// releasePeriod is the time after the end of a limit in which VMs return one after
-	// the other to sending without permits. Until then permits are at the last rate.
-	releasePeriod = 4 * time.Second
+	// the other to sending without permits. Meanwhile the rate of permits doubles
+	// releaseDoublings times a second.
+	releasePeriod    = 4 * time.Second
+	releaseDoublings = 2
 	// endedReportTTL is how long peers are told about the end of a limit.
 	endedReportTTL = 30 * time.Second
 )
@@ -110,7 +112,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e := b.entries[incarnation]; e != nil && e.inForce(now) {
-		return e.last
+		return e.enforced(now)
 	}
 	return math.Inf(1)
 }
@@ -122,7 +124,7 @@
 	rates := make(map[string]float64)
 	for incarnation, e := range b.entries {
 		if e.inForce(now) {
-			rates[incarnation] = e.last
+			rates[incarnation] = e.enforced(now)
 		}
 	}
 	return rates
@@ -150,6 +152,14 @@
 	return false
 }
 
+// enforced returns the rate of permits.
+func (e *bookEntry) enforced(now time.Time) float64 {
+	if e.limit.Limited() {
+		return e.last
+	}
+	return e.last * math.Exp2(releaseDoublings*now.Sub(e.endedAt).Seconds())
+}
+
 // inForce reports whether permits are issued at a limited rate.
 func (e *bookEntry) inForce(now time.Time) bool {
 	return e.limit.Limited() || now.Sub(e.endedAt) < releasePeriod
