internal/ingress: a request rejected for a limit is told when room is expected, in full

The time was cut to a quarter of the caller's own, so that callers came back before there was room. The log line names the VM that issues the permits.

--- a/internal/ingress/choose.go
+++ b/internal/ingress/choose.go
@@ -76,8 +76,9 @@
 // refuseLimited returns the error for a request that only limited upstreams could
 // take. u is the best one.
 func (j *job) refuseLimited(now time.Time, u roster.Upstream) error {
-	retryAfter := admission.RetryAfter(j.h.opts.Limits.RetryAfter(now, u.Incarnation()), j.request.TimeLeft, rand.Int64N)
-	j.logEvent(now).Str("upstream", u.ID).Func(j.h.logLimit(u)).Int64("retry_after_ms", retryAfter.Milliseconds()).Msg("upstreams at their limits")
+	// When there is room does not depend on the time that this caller has left.
+	retryAfter := admission.RetryAfter(j.h.opts.Limits.RetryAfter(now, u.Incarnation()), 0, rand.Int64N)
+	j.logEvent(now).Str("upstream", u.ID).Func(j.h.logLimit(u)).Str("issuer", j.h.opts.Limits.IssuerOf(u.Incarnation())).Int64("retry_after_ms", retryAfter.Milliseconds()).Msg("upstreams at their limits")
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeLimited, "all upstreams of the service are at the limits that they have announced").
 		WithObject("upstream/"+u.ID, "").WithRetryAfter(retryAfter)
 }
--- a/internal/permit/agent.go
+++ b/internal/permit/agent.go
@@ -269,6 +269,13 @@
 	return h.promised.Sub(now)
 }
 
+// IssuerOf returns the VM that issues permits for an upstream to this one, "" for none.
+func (a *Agent) IssuerOf(incarnation string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.delegations[shardOf(incarnation)].issuer
+}
+
 // Retain forgets the incarnations that are not on the list of upstreams, after a
 // delay.
 func (a *Agent) Retain(now time.Time, listed map[string]bool) {
