--- a/internal/entryvm/limits.go
+++ b/internal/entryvm/limits.go
@@ -125,5 +125,10 @@
 		listed[u.Incarnation()] = true
 	}
 	v.limits.Retain(now, listed)
-	metrics.GetOrRegisterGauge("limits.in_force", v.metrics).Update(int64(len(v.limits.Limits())))
+	rates, sum := v.limits.Limits(), 0.0
+	for _, rate := range rates {
+		sum += rate
+	}
+	metrics.GetOrRegisterGauge("limits_in_force", v.metrics).Update(int64(len(rates)))
+	metrics.GetOrRegisterGauge("limits_per_minute", v.metrics).Update(int64(sum * 60))
 }
--- a/internal/permit/fleet_test.go
+++ b/internal/permit/fleet_test.go
@@ -362,3 +362,22 @@
 		t.Errorf("VMs that need permits in each second after the end: %v", limited)
 	}
 }
+
+// TestRejectedComeBackOneByOne checks that those who are rejected at the same moment
+// are told different times, no sooner than there is room.
+func TestRejectedComeBackOneByOne(t *testing.T) {
+	const rate = 2.0
+	f := newFleet(3)
+	f.announce(rate)
+	f.run(5*time.Second, 0, nil)
+	for f.request("vm-0", permit.Want{}) {
+	}
+	last := time.Duration(0)
+	for i := range 10 {
+		at := f.vms["vm-0"].RetryAfter(f.now, upstream)
+		if least := time.Duration(float64(time.Second) / rate); at < last+least {
+			t.Errorf("caller %d: back after %v, the one before after %v; want %v between them", i, at, last, least)
+		}
+		last = at
+	}
+}
