platform, internal/ingress: sizes that callers declare are bounded

Now a header with an unusable size counts as absent (unusable.token_count, unusable.prompt_prefix), and a request as no larger than what an engine of its service holds.

--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
@@ -23,6 +24,9 @@
 	Parts []roster.Part
 	// PromptTokens and OutputTokens are the sizes that the caller declares.
 	PromptTokens, OutputTokens int
+	// Unusable names what the caller declares and can't be used, for metrics. It counts
+	// as not declared.
+	Unusable []string
 	// ResumeAfter is the ID of the last event that the caller received, or empty.
 	ResumeAfter string
 	// Header holds the fields that are forwarded to the upstream.
@@ -37,6 +41,22 @@
 	return q.Parts[:len(q.Parts)-1]
 }
 
+// Bounded returns the request with declared sizes of no more than the given number of
+// tokens, which is what an upstream holds: whoever declares more must not make an
+// upstream look busier than it can be. Zero means no bound.
+func (q Request) Bounded(tokens int) Request {
+	if tokens <= 0 {
+		return q
+	}
+	q.PromptTokens, q.OutputTokens = min(q.PromptTokens, tokens), min(q.OutputTokens, tokens)
+	q.Parts = slices.Clone(q.Parts)
+	for i := range q.Parts {
+		q.Parts[i].Tokens = min(q.Parts[i].Tokens, tokens)
+		tokens -= q.Parts[i].Tokens
+	}
+	return q
+}
+
 // UpstreamCall is one attempt of a request on an upstream.
 type UpstreamCall struct {
 	Request      Request
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return j, err
 	}
+	for _, name := range request.Unusable {
+		h.incCounter("unusable." + name)
+	}
 	if stage == Closing {
 		return j, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the VM is stopping").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -161,6 +164,9 @@
 		j.organisation = organisation
 	}
 	j.service, _ = cfg.Service(route.PickService(rand.Float64()))
+	if j.service.Engine {
+		j.request = j.request.Bounded(j.service.CacheTokens)
+	}
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
