internal/roster: live upstreams are not dropped just before their entries are back

Now 2.3 s, for two seconds and the way to the VM; looked at each 0.2 s, so that one that is gone is kept 2.6 s at most, before a VM counts as in touch again (3 s). TestEntryBackAtTheLastMoment: "live" failed with 1.8 s.

--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -363,3 +363,33 @@
 		}
 	}
 }
+
+// Guards against a live upstream that is dropped just before its entry is back: entries
+// that expired in an outage are back within two seconds of its end, and reach a VM a
+// little later. One that is not back by then is gone.
+func TestEntryBackAtTheLastMoment(t *testing.T) {
+	const (
+		backWithin   = 2 * time.Second
+		delivery     = 200 * time.Millisecond
+		goneWithin   = 2600 * time.Millisecond
+		checkedEvery = 200 * time.Millisecond
+	)
+	for name, back := range map[string]bool{"live": true, "gone": false} {
+		t.Run(name, func(t *testing.T) {
+			tb := table(engines(2, 1)...)
+			tb.Start(start, engine("e01", 1), roster.Load{}, parts, 0).Finish()
+			tb.Replace(start, engines(1, 1), true)
+			for at := checkedEvery; at <= goneWithin; at += checkedEvery {
+				if back && at == backWithin+delivery {
+					if changes := tb.Put(start.Add(at), engine("e01", 1)); len(changes) > 0 {
+						t.Errorf("a live engine was dropped before its entry was back: %v", changes)
+					}
+				}
+				tb.RemoveExpired(start.Add(at))
+			}
+			if present := len(tb.All()) == 2; present != back {
+				t.Errorf("present: %v, want %v", present, back)
+			}
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -76,8 +76,8 @@
 	maxFailures = 4
 	// expiredEntryHold is how long an upstream whose entry in the platform's
 	// store expired during an outage of the store stays a last resort. Entries
-	// of live upstreams are back within 2 s.
-	expiredEntryHold = 1800 * time.Millisecond
+	// of live upstreams are back within 2 s, and reach this VM a little later.
+	expiredEntryHold = 2300 * time.Millisecond
 	// loadingTimeout is how long an engine counts as loading after the last
 	// sign of it. The VM that changes the engine repeats its announcement
 	// several times in this period.
