internal/beacon: what a VM remembers of others is bounded

A VM that changed its address stayed in the set of near VMs under the old one, so that beacons reached near VMs in ever more rounds (628 in place of 3 after 5,000 changes), and addresses and names learned from beacons passed the limit (5,000 and 5,021 of 2,048).

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -151,7 +151,7 @@
 	maxPeersListed = 4
 	// Every peersEvery-th beacon lists peers.
 	peersEvery = 5
-	// maxAddresses limits the known addresses.
+	// maxAddresses limits the known addresses, and the peers.
 	maxAddresses = 2048
 )
 
@@ -408,7 +408,8 @@
 }
 
 // Accept records a received message and reports whether it was newer than the
-// last one of its sender. Older ones and the VM's own are ignored.
+// last one of its sender. Older ones and the VM's own are ignored, and so are those of
+// new peers if maxAddresses are known.
 func (b *Beacon) Accept(now time.Time, m Message) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -419,14 +420,20 @@
 	if known && (m.Incarnation < old.Incarnation || m.Incarnation == old.Incarnation && m.Sequence <= old.Sequence) {
 		return false
 	}
+	if !known && len(b.peers) >= maxAddresses {
+		return false
+	}
 	if known && old.Address != m.Address {
 		delete(b.addresses, old.Address)
+		delete(b.near, old.Address)
 	}
 	b.peers[m.Name] = &Peer{m, now}
 	b.add(now, m.Address)
-	b.addresses[m.Address] = now
-	if m.DataCentre == b.dataCentre {
-		b.near[m.Address] = true
+	if _, listed := b.addresses[m.Address]; listed {
+		b.addresses[m.Address] = now
+		if m.DataCentre == b.dataCentre {
+			b.near[m.Address] = true
+		}
 	}
 	for _, address := range m.Peers {
 		b.add(now, address)
--- a/internal/beacon/beacon_test.go
+++ b/internal/beacon/beacon_test.go
@@ -152,3 +152,57 @@
 	}
 	return n
 }
+
+// Guards against a VM, or somebody in its name, whose beacons name ever new addresses,
+// senders or peers: what a VM remembers and sends must stay bounded.
+func TestManyAddressesAreBounded(t *testing.T) {
+	const thousands, maxKnown, nearVMs = 5_000, 2_048, 20
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	address := func(i int) string { return fmt.Sprintf("127.1.%d.%d:7000", i/200, 1+i%200) }
+	from := func(name string, i int) beacon.Message {
+		return beacon.Message{Name: name, Incarnation: 1, Sequence: uint64(i + 1), Address: address(i), DataCentre: "a", State: beacon.Serving}
+	}
+	tests := map[string]struct {
+		message func(i int) beacon.Message
+		// known is the number of addresses afterwards, beside the near VMs' and its own.
+		known int
+	}{
+		"one VM that moves":  {func(i int) beacon.Message { return from("mover", i) }, 1},
+		"thousands of names": {func(i int) beacon.Message { return from(fmt.Sprint("name", i), i) }, maxKnown - nearVMs},
+		"thousands of peers": {func(i int) beacon.Message {
+			m := from("teller", 0)
+			m.Sequence = uint64(i + 1)
+			m.Peers = []string{address(i)}
+			return m
+		}, maxKnown - nearVMs},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := beacon.New(beacon.Options{Conn: conn, Log: zerolog.Nop(), Compose: func(time.Time) beacon.Message {
+				return beacon.Message{Name: "self", Address: "127.0.0.1:7000", DataCentre: "a"}
+			}})
+			b.Send(start)
+			for i := range nearVMs {
+				m := from(fmt.Sprint("near", i), 0)
+				m.Address = fmt.Sprintf("127.2.0.%d:7000", i+1)
+				b.Accept(start, m)
+			}
+			for i := range thousands {
+				b.Accept(start, tt.message(i))
+			}
+			if got := b.AddressCount() - nearVMs - 1; got > tt.known {
+				t.Errorf("%d addresses known beside the near VMs' and its own, want %d at most", got, tt.known)
+			}
+			if got, most := b.KnownCount(), maxKnown+1; got > most {
+				t.Errorf("%d VMs known, want %d at most", got, most)
+			}
+			if got, want := b.Rounds(), beacon.NearRounds(nearVMs+1); tt.known == 1 && got != want {
+				t.Errorf("%d rounds reach all near VMs, want %d", got, want)
+			}
+		})
+	}
+}
