internal/link: a token needs its scheme

RequireToken accepted the bare token; now the Bearer scheme is required, in any case (RFC 9110, section 11.1), and 401 names it in WWW-Authenticate. TestTokenNeedsItsScheme failed for "right" and for the header of each 401.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -29,7 +29,7 @@
 	// maxPeers is the maximum number of cached peerClients. All are removed when it
 	// is reached.
 	maxPeers     = 4096
-	bearerPrefix = "Bearer "
+	bearerScheme = "Bearer"
 )
 
 // ClientOptions configures a Client. The zero value is for nodes without a token.
@@ -75,7 +75,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
-	r.Header.Set("Authorization", bearerPrefix+t.token)
+	r.Header.Set("Authorization", bearerScheme+" "+t.token)
 	return t.next.RoundTrip(r)
 }
 
--- a/internal/link/handler.go
+++ b/internal/link/handler.go
@@ -26,14 +26,16 @@
 	}))
 }
 
-// RequireToken passes requests with the bearer token to next and responds to
-// others with status 401. Tokens are compared in constant time.
+// RequireToken passes requests with the bearer token (RFC 6750; the scheme in any
+// case) to next and responds to others with status 401. Tokens are compared in
+// constant time.
 func RequireToken(token string, next http.Handler) http.Handler {
 	want := sha256.Sum256([]byte(token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
-		sum := sha256.Sum256([]byte(got))
-		if subtle.ConstantTimeCompare(want[:], sum[:]) != 1 {
+		scheme, got, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+		sum := sha256.Sum256([]byte(strings.TrimLeft(got, " ")))
+		if !strings.EqualFold(scheme, bearerScheme) || subtle.ConstantTimeCompare(want[:], sum[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", bearerScheme)
 			openai.WriteError(w, verdict.New(verdict.NotRun, http.StatusUnauthorized, "bad_token",
 				"the token is missing or wrong").WithObject("header", "Authorization"))
 			return
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -130,3 +130,20 @@
 		t.Errorf("without a token: %v, %v", resp.Status, err)
 	}
 }
+
+// Guards against a bare token that passed without its scheme.
+func TestTokenNeedsItsScheme(t *testing.T) {
+	handler := link.RequireToken("right", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for authorization, want := range map[string]int{
+		"Bearer right": 200, "bearer right": 200, "BEARER right": 200, "Bearer  right": 200,
+		"right": 401, "": 401, "Bearer": 401, "Bearer wrong": 401, "Basic right": 401, "Bearerright": 401, "Bearer right ": 401,
+	} {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("Authorization", authorization)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Code != want || (w.Code == 401) != (w.Header().Get("WWW-Authenticate") == "Bearer") {
+			t.Errorf("%q: status %d, WWW-Authenticate %q; want status %d", authorization, w.Code, w.Header().Get("WWW-Authenticate"), want)
+		}
+	}
+}
