internal/objectstore: one contract for both stores

HTTPStore spoke of "put" when a deletion failed, and took 404 for an unknown outcome where the memory store gives a conflict: an object that doesn't exist has another version than the expected one, so nothing was written.

--- a/internal/objectstore/httpstore.go
+++ b/internal/objectstore/httpstore.go
@@ -170,24 +170,29 @@
 		if !connected {
 			cause = ErrUnavailable
 		}
-		return 0, fmt.Errorf("objectstore: put %s: %w: %w", key, cause, err)
+		return 0, fmt.Errorf("objectstore: %s %s: %w: %w", strings.ToLower(method), key, cause, err)
 	}
 	defer drainAndClose(resp.Body)
-	return parseWriteResponse(resp, key)
+	version, err := parseWriteResponse(resp)
+	if err != nil {
+		return 0, fmt.Errorf("objectstore: %s %s: %w", strings.ToLower(method), key, err)
+	}
+	return version, nil
 }
 
 // parseWriteResponse returns the new version, or the error that the response
 // means. Any status that does not rule out a write leaves the outcome unknown.
-func parseWriteResponse(resp *http.Response, key string) (uint64, error) {
+func parseWriteResponse(resp *http.Response) (uint64, error) {
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return parseEntityTag(resp.Header.Get("ETag")), nil
-	case http.StatusPreconditionFailed:
-		return 0, fmt.Errorf("objectstore: put %s: %w", key, ErrConflict)
+	case http.StatusPreconditionFailed, http.StatusNotFound:
+		// An object that does not exist has another version than the expected one.
+		return 0, ErrConflict
 	case http.StatusTooManyRequests:
-		return 0, fmt.Errorf("objectstore: put %s: status %d: %w", key, resp.StatusCode, ErrUnavailable)
+		return 0, fmt.Errorf("status %d: %w", resp.StatusCode, ErrUnavailable)
 	default:
-		return 0, fmt.Errorf("objectstore: put %s: status %d: %w", key, resp.StatusCode, ErrOutcomeUnknown)
+		return 0, fmt.Errorf("status %d: %w", resp.StatusCode, ErrOutcomeUnknown)
 	}
 }
 
