--- a/internal/ledger/key.go
+++ b/internal/ledger/key.go
@@ -17,6 +17,8 @@
 
 const uuidVersion7 = 7
 
+const codeKeyExpired = "idempotency_key_expired"
+
 // Key identifies one request of one organisation.
 type Key struct {
 	Organisation string
@@ -45,9 +47,15 @@
 	return Key{Organisation: organisation, Key: id.String()}, nil
 }
 
+// isExpiredKey reports whether an error of ParseKey means that the key is older than
+// the retention.
+func isExpiredKey(err error) bool {
+	return err != nil && verdict.FromError(err).Code == codeKeyExpired
+}
+
 // expiredKeyError returns the error for a key that is older than the retention.
 func expiredKeyError() error {
-	return verdict.New(verdict.MayHaveRun, http.StatusConflict, "idempotency_key_expired",
+	return verdict.New(verdict.MayHaveRun, http.StatusConflict, codeKeyExpired,
 		"the key is older than the ledger's retention and never runs again").WithObject("header", "Idempotency-Key")
 }
 
--- a/internal/ledger/outage_test.go
+++ b/internal/ledger/outage_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// Guards against a claim that was answered as expired, "may have run", although its key
+// is only ahead of this node's clock, as when that was set back after the key's check.
+func TestKeyAheadOfClockIsNotExpired(t *testing.T) {
+	l := newLedger(&faultyStore{Memory: objectstore.NewMemory()}, "a")
+	defer l.Close(context.Background())
+	ahead := time.Now().Add(2 * ledger.MaxClockSkew)
+	if _, err := l.Claim(context.Background(), ahead, newClaim(keyAt(ahead))); err != nil {
+		t.Errorf("got %v", err)
+	}
+}
+
 // virtualKey returns a key created at the current virtual time.
 func virtualKey() ledger.Key { return keyAt(time.Now()) }
 
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	_, err := ParseKey(s.opts.Now(), entry.GetOrganisation(), entry.GetKey(), s.opts.Retention)
-	return err != nil
+	return isExpiredKey(err)
 }
 
 // writeHead stores the new entries in a conditional update of the head and
