internal/settings: a recorded answer fits into the largest answer

With max_answer_bytes below ledger_answer_bytes a stream cut at the former was short enough to be recorded as whole. The check refuses it and names both fields; 0 is documented, and counts as the default.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -82,11 +83,15 @@
 	LedgerIntervalMS int `json:"ledger_interval_ms"`
 	// LedgerRetentionMS is how long the ledger retains the outcome of a request.
 	LedgerRetentionMS int `json:"ledger_retention_ms"`
-	// LedgerAnswerBytes is the maximum size of a recorded response.
+	// LedgerAnswerBytes is the maximum size of a recorded response, MaxAnswerBytes at
+	// most. Zero means the default, 16 KiB.
 	LedgerAnswerBytes int `json:"ledger_answer_bytes"`
 	ClaimTimeoutMS    int `json:"claim_timeout_ms"`
 }
 
+// defaultLedgerAnswerBytes is the ledger's own default.
+const defaultLedgerAnswerBytes = 16 << 10
+
 // Default returns the default settings. Fields without a default are empty.
 func Default() Settings {
 	return Settings{
@@ -104,7 +109,7 @@
 		LedgerShards:      16,
 		LedgerIntervalMS:  50,
 		LedgerRetentionMS: 6 * 3_600_000,
-		LedgerAnswerBytes: 16 << 10,
+		LedgerAnswerBytes: defaultLedgerAnswerBytes,
 		ClaimTimeoutMS:    1_000,
 	}
 }
@@ -195,6 +200,9 @@
 	c.checkRange("ledger_interval_ms", s.LedgerIntervalMS, 1, 10_000)
 	c.checkRange("ledger_retention_ms", s.LedgerRetentionMS, 1_000, 30*dayMS)
 	c.checkRange("ledger_answer_bytes", s.LedgerAnswerBytes, 0, 256<<10)
+	if recorded := cmp.Or(s.LedgerAnswerBytes, defaultLedgerAnswerBytes); recorded > s.MaxAnswerBytes {
+		c.addProblem("ledger_answer_bytes", "%d is more than max_answer_bytes, %d: an answer that was cut there would be recorded as whole", recorded, s.MaxAnswerBytes)
+	}
 	c.checkRange("claim_timeout_ms", s.ClaimTimeoutMS, 10, 60_000)
 }
 
