--- a/internal/rollout/fake_test.go
+++ b/internal/rollout/fake_test.go
@@ -135,6 +135,8 @@
 	// delays the effect of these orders.
 	lostResponses int
 	delay         time.Duration
+	// dark engines can't be reached.
+	dark map[string]bool
 }
 
 const loadTime = 60 * time.Millisecond
@@ -158,6 +160,9 @@
 func (e *fakeEngines) Report(_ context.Context, u roster.Upstream) (rollout.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dark[u.ID] {
+		return rollout.Report{}, rollout.ErrDeclined
+	}
 	e.finishLoad(u.ID)
 	_, busy := e.busyUntil[u.ID]
 	return rollout.Report{Version: e.version[u.ID], Busy: busy, Orders: e.orders[u.ID]}, nil
@@ -167,6 +172,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := o.Upstream.ID
+	if e.dark[id] {
+		return rollout.ErrDeclined
+	}
 	e.finishLoad(id)
 	e.received = append(e.received, receivedOrder{time.Now(), id, o.Version, o.Expected, o.Fence})
 	if e.lostResponses > 0 {
@@ -197,6 +205,13 @@
 	return nil
 }
 
+// setDark makes an engine unreachable, or reachable again as it was.
+func (e *fakeEngines) setDark(id string, dark bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dark = map[string]bool{id: dark}
+}
+
 // allHave reports whether all engines have the version.
 func (e *fakeEngines) allHave(version int64) bool {
 	e.mu.Lock()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -128,3 +128,32 @@
 		})
 	}
 }
+
+// Guards against VERSION: an engine that was dark while two versions were named is
+// back with its old weights, under the same incarnation. It must get the newest ones at
+// once, by one order.
+func TestDarkEngineIsBroughtUpToDate(t *testing.T) {
+	const changedWithin = 3 * time.Second
+	vm := newTestVM(4)
+	vm.engines.setDark("e00", true)
+	vm.table.SetDesired(time.Now(), "m", 2)
+	time.AfterFunc(300*time.Millisecond, func() { vm.table.SetDesired(time.Now(), "m", 3) })
+	back := make(chan time.Time, 1)
+	time.AfterFunc(1500*time.Millisecond, func() {
+		vm.engines.setDark("e00", false)
+		back <- time.Now()
+	})
+	vm.runUntil(t, 3)
+	if took := time.Since(<-back); took > changedWithin {
+		t.Errorf("up to date %v after it was back, want %v", took, changedWithin)
+	}
+	var versions []int64
+	for _, o := range vm.engines.receivedOrders() {
+		if o.engine == "e00" {
+			versions = append(versions, o.version)
+		}
+	}
+	if diff := cmp.Diff([]int64{3}, versions); diff != "" {
+		t.Errorf("orders to it (-want +got):\n%s", diff)
+	}
+}
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -418,3 +418,63 @@
 		})
 	}
 }
+
+// Guards against VERSION: an engine that was dark while two versions were named is back
+// under the same incarnation, with its old weights and the entry from before. However
+// list, beacons and responses follow each other, no request may go there any more.
+func TestDarkEngineGetsNoRequests(t *testing.T) {
+	const dark = "dark"
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	list := []roster.Upstream{engine(dark, 1), engine("other", 3)}
+	events := map[string]func(tb *roster.Table, now time.Time){
+		"list": func(tb *roster.Table, now time.Time) { tb.Replace(now, list, false) },
+		"entry": func(tb *roster.Table, now time.Time) {
+			tb.Remove(now, dark, true)
+			tb.Put(now, engine(dark, 1))
+		},
+		"ages": func(tb *roster.Table, now time.Time) {
+			tb.SetDesired(at(3), "m", 2)
+			tb.SetDesired(at(12), "m", 3)
+		},
+		"response": func(tb *roster.Table, now time.Time) { tb.ReportReachable(now, dark) },
+		"observed": func(tb *roster.Table, now time.Time) { tb.ObserveVersion(now, dark, 1, 1) },
+		"gone":     func(tb *roster.Table, now time.Time) { tb.ReportUnreachable(now, dark) },
+	}
+	vms := map[string]func(tb *roster.Table){
+		"there all the time": func(tb *roster.Table) {
+			events["ages"](tb, start)
+		},
+		"cut off from the store until 6 s": func(tb *roster.Table) {
+			for s := 1.0; s <= 6; s += 0.2 {
+				tb.RecordDisruption(at(s))
+			}
+			events["ages"](tb, start)
+		},
+		"started at 20 s": func(tb *roster.Table) { tb.AssumeDesired(at(15), "m", 3) },
+	}
+	names := []string{"list", "entry", "ages", "response", "observed", "gone"}
+	for name, prepare := range vms {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			for range 300 {
+				tb := table(list...)
+				prepare(tb)
+				rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+				knows := name != "started at 20 s"
+				for i, event := range names {
+					now := at(26.5 + 0.2*float64(i))
+					events[event](tb, now)
+					knows = knows || event == "ages"
+					if c, _ := tb.Pick(now, query()); knows && c.Upstream.ID == dark {
+						t.Fatalf("picked after %v", names[:i+1])
+					}
+				}
+				q := query()
+				q.Exclude = []string{"other"}
+				if c, found := tb.Pick(at(28), q); found {
+					t.Fatalf("picked %s as a last resort after %v", c.Upstream.ID, names)
+				}
+			}
+		})
+	}
+}
