--- a/cmd/covestandin/main.go
+++ b/cmd/covestandin/main.go
@@ -37,6 +37,8 @@
 	readHeaderTimeout = 10 * time.Second
 )
 
+var errNoListen = errors.New("want -listen with an IP address and a port")
+
 func main() {
 	kind := flag.String("kind", "", "kind of stand-in: store, vms, engine or service")
 	listen := flag.String("listen", "", "IP address and port to listen on")
@@ -57,8 +59,11 @@
 		Slots:           *slots,
 	}
 	handler, err := newHandler(*kind, engine, *vmsPath)
-	if err != nil || *listen == "" {
-		fmt.Fprintln(os.Stderr, "covestandin: want -kind and -listen:", err)
+	if err == nil && *listen == "" {
+		err = errNoListen
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "covestandin:", err)
 		os.Exit(exitUsage)
 	}
 	if err := serve(*listen, handler); err != nil {
@@ -78,7 +83,7 @@
 	case "service":
 		return plainservice.New(engine.Name), nil
 	default:
-		return nil, fmt.Errorf("unknown kind %q", kind)
+		return nil, fmt.Errorf("unknown kind %q: want -kind store, vms, engine or service", kind)
 	}
 }
 
--- a/cmd/hibiscuscove/process_test.go
+++ b/cmd/hibiscuscove/process_test.go
@@ -587,3 +587,18 @@
 		}
 	}
 }
+
+// TestStandinUsage checks what the stand-in says about a wrong command line.
+func TestStandinUsage(t *testing.T) {
+	t.Parallel()
+	for args, want := range map[string]string{
+		"-kind store":               "covestandin: want -listen with an IP address and a port",
+		"-listen 127.0.0.1:1":       "-kind",
+		"-kind odd -listen 1.1.1.1": "odd",
+	} {
+		out, err := exec.Command(filepath.Join(binDir, "covestandin"), strings.Fields(args)...).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) || strings.Contains(string(out), "<nil>") {
+			t.Errorf("%s: %v, %s", args, err, out)
+		}
+	}
+}
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -60,8 +60,6 @@
 	// SilentAt sends nothing more from the event with this index on, with the
 	// connection open.
 	SilentAt int `json:"silent_at,omitempty"`
-	// FreezeAt does the same as SilentAt.
-	FreezeAt int `json:"freeze_at,omitempty"`
 	// CrashAt ends the engine's incarnation before the event with this index.
 	CrashAt int `json:"crash_at,omitempty"`
 	// CrashOnText ends the incarnation when a request body contains this text.
--- a/internal/standin/modelengine/generation.go
+++ b/internal/standin/modelengine/generation.go
@@ -311,7 +311,7 @@
 	case fault.CrashAt:
 		e.Crash()
 		panic(http.ErrAbortHandler)
-	case fault.SilentAt, fault.FreezeAt:
+	case fault.SilentAt:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/upstream/table.go
+++ b/internal/upstream/table.go
@@ -44,12 +44,6 @@
 	return prefix.Hash(c.Name)
 }
 
-// Running identifies a request that this node has sent to an upstream.
-type Running struct {
-	Fingerprint string
-	Incarnation string
-}
-
 // Status is the state of an upstream as shown to operators.
 type Status struct {
 	contract.Upstream
