--- a/internal/permit/agent.go
+++ b/internal/permit/agent.go
@@ -156,7 +156,11 @@
 	now := a.opts.Now()
 	a.mu.Lock()
 	d := &a.delegations[shard]
+	before := d.issuer
 	issuer, withdraw := d.next(now, shard, candidates)
+	if issuer != before {
+		a.opts.Log.Info().Int("shard", shard).Str("issuer", issuer).Str("before", before).Int("candidates", len(candidates)).Msg("issuer of permits chosen")
+	}
 	delegated := d.stamp != (Stamp{}) && !withdraw && d.failures == 0
 	if issuer == "" || delegated && now.Sub(d.triedAt) < renewInterval && !d.boundUntil.IsZero() {
 		a.mu.Unlock()
@@ -190,6 +194,7 @@
 	defer a.mu.Unlock()
 	d := &a.delegations[q.Shard]
 	if err != nil {
+		a.opts.Log.Debug().Int("shard", q.Shard).Str("issuer", issuer).Err(err).Msg("no response from the issuer of permits")
 		d.fail(now, issuer)
 		return r, err
 	}
