internal/selection: upstreams whose responses break are ejected

Callers saw: of 2 plain upstreams one sent bytes that are no response; most requests failed for as long as it lasted.

Cause: a broken response costs an upstream nothing in the choice. It also ends early, so that the upstream looks idle and gets more than its share.

Change: the outcome of each attempt goes to health.Ejections (the lines in ingress), Pick takes others while they are healthy, Choose sends trials, and what was picked before an ejection goes elsewhere. A request that is known to have broken another incarnation before doesn't count. Counters, gauge, log lines "upstream ejected" and "upstream back", and `ejections` in the dump.

TestSoundUpstreamsAreNotEjected (what breaks at one VM only; all break) passes before and after: it guards the change.

--- a/internal/entryvm/availability.go
+++ b/internal/entryvm/availability.go
@@ -27,14 +27,25 @@
 	}
 }
 
-// maintainAvailability forgets what upstreams that are gone have announced.
+// learnEjections records a peer's reports of upstreams whose responses break.
+func (v *VM) learnEjections(now time.Time, m beacon.Message) {
+	for _, incarnation := range v.ejections.Learn(now, m.Name, m.Ejections) {
+		metrics.GetOrRegisterCounter("ejections.learned", v.metrics).Inc(1)
+		v.log.Warn().Str("peer", m.Name).Str("incarnation", incarnation).Msg("upstream ejected, learned from peers")
+	}
+}
+
+// maintainAvailability forgets what is known of upstreams that are gone.
 func (v *VM) maintainAvailability(now time.Time) {
-	listed := make(map[string]bool)
+	listed, services := make(map[string]bool), make(map[string]string)
 	for _, u := range v.upstreams.All() {
 		listed[u.Incarnation()] = true
+		services[u.Incarnation()] = u.Service
 	}
 	v.drains.Retain(now, listed)
 	v.backoffs.Retain(now, listed)
+	v.ejections.Retain(now, services)
 	metrics.GetOrRegisterGauge("upstreams_leaving", v.metrics).Update(int64(len(v.drains.Ages(now))))
 	metrics.GetOrRegisterGauge("upstreams_backing_off", v.metrics).Update(int64(len(v.backoffs.Remaining(now))))
+	metrics.GetOrRegisterGauge("upstreams_ejected", v.metrics).Update(int64(len(v.ejections.Ages(now))))
 }
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -67,7 +67,7 @@
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
 		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
-		UpstreamsLeaving: v.drains.Reports(now),
+		UpstreamsLeaving: v.drains.Reports(now), Ejections: v.ejections.Reports(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -131,6 +131,7 @@
 	}
 	v.learnLimits(now, m)
 	v.learnDrains(now, m)
+	v.learnEjections(now, m)
 	v.mergeDesiredAges(now, m.Desired)
 	for _, s := range m.Suspected {
 		metrics.GetOrRegisterCounter("suspicions.received", v.metrics).Inc(1)
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -40,6 +40,9 @@
 	// Backoffs holds the milliseconds until upstreams that want nothing get requests
 	// again, by incarnation.
 	Backoffs map[string]int64 `json:"backoffs"`
+	// Ejections holds for how many milliseconds upstreams whose responses break have been
+	// ejected, by incarnation.
+	Ejections map[string]int64 `json:"ejections"`
 }
 
 func (v *VM) dump(now time.Time) Dump {
@@ -48,7 +51,7 @@
 		Upstreams: v.upstreams.All(), Load: v.upstreams.TotalLoad(now), Avoided: v.upstreams.Avoided(now),
 		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.elector.Fence(), Leading: v.elector.Holds(now),
 		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now), Streams: v.streams.Status(now),
-		UpstreamsLeaving: v.drains.Ages(now), Backoffs: v.backoffs.Remaining(now),
+		UpstreamsLeaving: v.drains.Ages(now), Backoffs: v.backoffs.Remaining(now), Ejections: v.ejections.Ages(now),
 	}
 	if c := v.configuration.Current(); c != nil {
 		d.Version = c.Version()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -107,6 +107,7 @@
 	streams               *lineage.Agent
 	drains                *health.Drains
 	backoffs              *health.Backoffs
+	ejections             *health.Ejections
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
 	rollout               *rollout.Rollout
@@ -160,6 +161,7 @@
 		crashTracker:  suspect.NewTracker(),
 		drains:        health.NewDrains(milliseconds(s.DrainMS) - drainNoticeMargin),
 		backoffs:      health.NewBackoffs(s.Name),
+		ejections:     health.NewEjections(s.Name),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeadBytes}},
 		fetching:      make(map[string]bool),
@@ -264,6 +266,7 @@
 		Limits:        v.limits,
 		Drains:        v.drains,
 		Backoffs:      v.backoffs,
+		Ejections:     v.ejections,
 		Fleet:         v,
 		Streams:       countedStreams{v},
 		Metrics:       v.metrics,
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/eventstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/leg"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
@@ -37,6 +38,7 @@
 			return false, errors.New("the stream ended without an event, and another one goes on")
 		}
 		j.dropOthers(l)
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Sound)
 		return true, nil
 	case r.Err != nil && ctx.Err() != nil:
 		return false, j.endLegs(ctx) // it failed since its time is over
@@ -133,6 +135,10 @@
 	}
 	j.h.opts.CrashTracker.RecordUnanswered(now, aliveAt, j.Fingerprint, l.Upstream.Incarnation(), reason == reasonCut)
 	e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint)
+	// A request that breaks several upstreams tells nothing about them.
+	if reason == reasonCut && e.Broken <= 1 && !impliesNotRun(l.Response.Status) {
+		j.h.selector.ObserveOutcome(now, l.Upstream, j.Fingerprint, health.Broken)
+	}
 	j.logEvent(now).Str("incarnation", l.Upstream.Incarnation()).Str("fingerprint", j.Fingerprint).Str("reason", reason).
 		Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
 }
@@ -146,6 +152,7 @@
 	case !l.Head.Signed || l.Head.Encoded:
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the response with status %d is unsigned or has a content encoding", status))
 	case status >= http.StatusInternalServerError && !impliesNotRun(status) && (len(j.legs) > 1 || j.mayReplaceFailure()):
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Failed)
 		j.runs++
 		j.endLeg(l)
 		if len(body) <= maxKeptFailure {
@@ -155,6 +162,11 @@
 	case impliesNotRun(status):
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the upstream responded with status %d but did not state that the request has not run", status))
 	}
+	outcome := health.Sound
+	if status >= http.StatusInternalServerError {
+		outcome = health.Failed
+	}
+	j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, outcome)
 	j.dropOthers(l)
 	j.runs++
 	j.endLeg(l)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -310,7 +310,7 @@
 	r := selection.Request{
 		Query: query, Organisation: j.Organisation.Name, Priority: j.Priority(),
 		Retry: j.runs+j.rejected+j.notSent > 0, New: j.Service.Engine && j.isFirst(),
-		TargetLatency: j.Route.TargetLatency, TimeLeft: j.Head.TimeLeft, LogEvent: j.logEvent,
+		TargetLatency: j.Route.TargetLatency, TimeLeft: j.Head.TimeLeft, Repeatable: j.isFirst() && j.Route.Repeatable() && j.Route.MaxAttempts > 1, LogEvent: j.logEvent,
 	}
 	if j.runs == 0 {
 		r.Reattempt = func() { j.attempted = nil }
--- a/internal/selection/availability.go
+++ b/internal/selection/availability.go
@@ -74,10 +74,30 @@
 	}
 }
 
-// Pick picks an upstream that takes requests and has not announced that it
+// Pick picks an upstream that is not ejected, if one is healthy. It does not start trials.
+func (s *Selector) Pick(now time.Time, query roster.Query) (roster.Choice, bool) {
+	ejected := s.opts.Ejections.InForce(now)
+	if ejected == nil {
+		return s.pickAvailable(now, query)
+	}
+	others := query
+	others.Allow = func(u roster.Upstream) bool {
+		return (query.Allow == nil || query.Allow(u)) && !ejected[u.Incarnation()]
+	}
+	choice, found := s.pickAvailable(now, others)
+	if found && choice.Healthy {
+		return choice, true
+	}
+	if other, exists := s.pickAvailable(now, query); exists && (!found || other.Healthy) {
+		return other, true
+	}
+	return choice, found
+}
+
+// pickAvailable picks an upstream that takes requests and has not announced that it
 // leaves. Those that leave are picked only while no other one of the service is healthy.
 // The cached prompt parts of all may be fetched.
-func (s *Selector) Pick(now time.Time, query roster.Query) (roster.Choice, bool) {
+func (s *Selector) pickAvailable(now time.Time, query roster.Query) (roster.Choice, bool) {
 	if !s.opts.Drains.Any() && !s.opts.Backoffs.Any(now) {
 		return s.opts.Upstreams.Pick(now, query)
 	}
@@ -104,12 +124,14 @@
 }
 
 // Withhold returns why a request must not be sent to the upstream that was picked at
-// pickedAt, because of what became known since: leaving, backoff, or nothing. A request
+// pickedAt, because of what became known since: leaving, ejected, backoff, or nothing. A request
 // that isn't withheld must be sent.
 func (s *Selector) Withhold(now, pickedAt time.Time, u roster.Upstream) string {
 	switch {
 	case s.opts.Drains.LearnedAfter(pickedAt, u.Incarnation()):
 		return "leaving"
+	case s.opts.Ejections.EjectedAfter(pickedAt, u.Incarnation()) && s.opts.Ejections.InForce(now)[u.Incarnation()]:
+		return "ejected"
 	case !s.opts.Backoffs.Acquire(now, u.Incarnation()):
 		return "backoff"
 	}
--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -40,9 +40,12 @@
 	return free, s.checkChoice(now, r, free, found)
 }
 
-// pick picks an upstream. If all have been attempted and the request has not run, all
+// pick picks an upstream, an ejected one if the request is a trial. If all have been attempted and the request has not run, all
 // may be picked again.
 func (s *Selector) pick(now time.Time, r Request, query *roster.Query) (roster.Choice, bool) {
+	if trial, started := s.pickTrial(now, r, *query); started {
+		return trial, true
+	}
 	choice, found := s.Pick(now, *query)
 	if !found && len(query.Exclude) > 0 && r.Reattempt != nil {
 		r.Reattempt()
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -1,7 +1,7 @@
 // Package selection chooses the upstream of an attempt of host-and-path traffic: by cost
 // among those that take requests, and within what upstreams have announced, which are
 // limits, that they leave, and that they want nothing for a while. It learns that from
-// the heads of responses.
+// the heads of responses. Upstreams whose responses break are ejected.
 //
 // # Usage
 //
@@ -12,6 +12,7 @@
 //	... send, and of the response
 //	selector.ObserveAvailability(now, u, status, head)
 //	selector.ObserveLimit(now, u, head, sentAt)
+//	selector.ObserveOutcome(now, u, fingerprint, health.Sound)
 //
 // A Selector is safe for concurrent use.
 package selection
@@ -46,6 +47,7 @@
 	Limits    *permit.Agent
 	Drains    *health.Drains
 	Backoffs  *health.Backoffs
+	Ejections *health.Ejections
 	Metrics   metrics.Registry
 	Log       zerolog.Logger
 }
@@ -70,6 +72,9 @@
 	// New is set if it is to get its first token within TargetLatency.
 	New           bool
 	TargetLatency time.Duration
+	// Repeatable is set for a first attempt that may be followed by another one if the
+	// upstream breaks it off.
+	Repeatable bool
 	// TimeLeft is the time until the caller's deadline, or zero if it gave none.
 	TimeLeft time.Duration
 	// Reattempt is called if all upstreams were attempted and any may be attempted
