internal/registry: equal pages for peers that lack the same changes

A page's Since was the position of the peer that asks. Positions move on while a collection does not change, so each of 84 VMs got a page of its own, which could not be encoded once for all. Since is now the last change that the peer has. What is applied stays the same: nothing has changed between that revision and the peer's.

TestPeersThatLackTheSameGetEqualPages fails on the code before (Since is the position asked for).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -193,16 +193,25 @@
 
 // Snapshot returns what a peer at the position since lacks: the changes after it, or
 // the whole state if it is of another era or deletions after it are no longer known.
-// Deleted items come first.
+// Deleted items come first. Pages of one position with the same Since are equal, apart
+// from the order of items, and peers that lack the same changes get the same Since.
 func (f *Follower[T]) Snapshot(since Position) Page[T] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	page := Page[T]{Era: f.position.Era, Revision: f.position.Revision, Items: []Item[T]{}}
 	if since.Era == f.position.Era && since.Revision > 0 && since.Revision >= f.deletedAfter {
-		page.Since = since.Revision
+		// The last change that the peer has.
+		page.Since = f.deletedAfter
 		for _, item := range f.deleted {
 			if item.Revision > since.Revision {
 				page.Items = append(page.Items, item)
+			} else {
+				page.Since = max(page.Since, item.Revision)
+			}
+		}
+		for _, item := range f.items {
+			if item.Revision <= since.Revision {
+				page.Since = max(page.Since, item.Revision)
 			}
 		}
 	}
