internal/pageserver: states for other VMs are sent compressed, at a limited rate

What callers saw: on a deployment of 84 VMs, 76 of them with links of 10 Mbit/s, after each change of a configuration of some hundred routes some callers got no connection or no answer before their deadline.

Cause: of 84 VMs four watch the store, the others fetch the configuration from whoever announces it. A VM sent up to 22 copies of 120 KB in the second after a change, as fast as peers asked: two seconds of its link. Downloads ran into their limit of 700 ms, began again at the next beacon, and used the link again. Answers to callers waited behind them.

Ruled out: the processor and locks. Requests read the configuration without a lock. With 444 routes and 84 organisations a download takes 2.8 ms of processor time to apply, a read from the store 6.8 ms; the longest pause is 2.2 ms (median of 40), 11 ms at 0.192 of a core.

Change: package pageserver encodes and compresses a page once per change and sends all pages of a VM one after the other at half of its link, which the settings now name. Who would wait over 200 ms is refused with 503 and asks another VM at its next beacon. Older builds decompress as well: their client asks for gzip by itself. Weighed: a tree of sources (the spread already doubles each round, once downloads succeed), and differences of configurations (compressed pages are 5 to 10 % of the plain ones).

--- a/internal/entryvm/export_test.go
+++ b/internal/entryvm/export_test.go
@@ -14,3 +14,11 @@
 
 // StreamStatus returns the state of what the VM knows of streams.
 func (v *VM) StreamStatus() lineage.Status { return v.streams.Status(time.Now()) }
+
+// ConfigurationVersion returns the version of the configuration in force, or 0.
+func (v *VM) ConfigurationVersion() int64 {
+	if c := v.configuration.Current(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
+	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
@@ -29,6 +30,9 @@
 	// maxPeerHeadBytes limits the head of a peer's response.
 	maxPeerHeadBytes = 16 << 10
 	maxSnapshotBytes = 16 << 20
+	// pagesLinkShare is the share of the VM's link that states sent to peers may take.
+	pagesLinkShare = 0.5
+	bytesPerMbit   = 1e6 / 8
 	// listInterval is the interval between two reads of the store's list of VMs.
 	listInterval     = 15 * time.Second
 	expireInterval   = 200 * time.Millisecond
@@ -206,6 +210,10 @@
 		if since := f.Position(); since.Before(theirs) {
 			var page registry.Page[T]
 			err := v.fetchPage(m.Control, collection, since, &page)
+			if errors.Is(err, errPeerBusy) {
+				metrics.GetOrRegisterCounter("peer_fetches.busy", v.metrics).Inc(1)
+				return
+			}
 			applied := err == nil && f.Offer(v.opts.Now(), page)
 			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs.Revision).
 				Uint64("own", own.Revision).Uint64("era", theirs.Era).Bool("taken", applied).AnErr("error", err).Msg("state fetched from a peer")
@@ -231,6 +239,10 @@
 	}()
 }
 
+// errPeerBusy means that a peer is sending the collection to others. The next beacon of
+// a VM that has it starts another download.
+var errPeerBusy = errors.New("peer is busy with other downloads")
+
 func (v *VM) fetchPage(control, collection string, since registry.Position, page any) error {
 	query := url.Values{"since": {strconv.FormatUint(since.Revision, 10)}, "era": {strconv.FormatUint(since.Era, 10)}}
 	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection + "?" + query.Encode())
@@ -238,6 +250,13 @@
 		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("entryvm: fetch %s: %w", collection, errPeerBusy)
+	default:
+		return fmt.Errorf("entryvm: fetch %s: status %d", collection, resp.StatusCode)
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshotBytes)).Decode(page); err != nil {
 		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
 	}
@@ -248,10 +267,14 @@
 // operators use.
 func (v *VM) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	serveCollection(mux, "configurations", v.configurationFollower)
-	serveCollection(mux, "upstreams", v.upstreamFollower)
-	serveCollection(mux, "versions", v.versionFollower)
-	mux.HandleFunc("GET /v1/collections/"+retainedCollection, v.serveRetained)
+	pages := pageserver.New(pageserver.Options{Now: v.opts.Now, BytesPerS: v.settings.LinkMbps * bytesPerMbit * pagesLinkShare, Metrics: v.metrics})
+	serveCollection(mux, pages, "configurations", v.configurationFollower)
+	serveCollection(mux, pages, "upstreams", v.upstreamFollower)
+	serveCollection(mux, pages, "versions", v.versionFollower)
+	retainedPages := pages.Pages(retainedCollection)
+	mux.HandleFunc("GET /v1/collections/"+retainedCollection, func(w http.ResponseWriter, r *http.Request) {
+		retainedPages.Serve(w, r, v.retainedPage)
+	})
 	mux.HandleFunc("POST "+permitsPath, v.servePermits)
 	mux.HandleFunc("POST "+streamsPath, v.serveStreams)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
@@ -263,7 +286,8 @@
 // after the position in the query parameters "since" and "era". An older build sends
 // no era and knows no eras: it gets changes, as it expects, as long as the store has
 // not come back from a copy since this VM started.
-func serveCollection[T any](mux *http.ServeMux, name string, f *registry.Follower[T]) {
+func serveCollection[T any](mux *http.ServeMux, server *pageserver.Server, name string, f *registry.Follower[T]) {
+	pages := server.Pages(name)
 	mux.HandleFunc("GET /v1/collections/"+name, func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
 		since, sinceErr := strconv.ParseUint(query.Get("since"), 10, 64)
@@ -274,7 +298,10 @@
 		if sinceErr != nil || eraErr != nil {
 			since = 0 // return the whole state
 		}
-		writeJSON(w, f.Snapshot(registry.Position{Era: era, Revision: since}))
+		pages.Serve(w, r, func() (pageserver.Key, any) {
+			page := f.Snapshot(registry.Position{Era: era, Revision: since})
+			return pageserver.Key{Era: page.Era, Revision: page.Revision, Since: page.Since}, page
+		})
 	})
 }
 
--- a/internal/entryvm/retained.go
+++ b/internal/entryvm/retained.go
@@ -1,9 +1,8 @@
 package entryvm
 
 import (
-	"net/http"
-
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
 )
@@ -23,14 +22,14 @@
 	return c
 }
 
-// serveRetained serves the retained configuration, or a page without items.
-func (v *VM) serveRetained(w http.ResponseWriter, _ *http.Request) {
+// retainedPage returns a page with the retained configuration, or without items.
+func (v *VM) retainedPage() (pageserver.Key, any) {
 	page := registry.Page[routing.Document]{Items: []registry.Item[routing.Document]{}}
 	if c := v.retained(); c != nil {
 		page.Era, page.Revision = c.Era(), c.Revision()
 		page.Items = append(page.Items, registry.Item[routing.Document]{Name: retainedCollection, Revision: c.Revision(), Value: c.Document()})
 	}
-	writeJSON(w, page)
+	return pageserver.Key{Era: page.Era, Revision: page.Revision}, page
 }
 
 // fetchRetained starts a download of a peer's retained configuration if it is newer
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -38,6 +38,8 @@
 	StoreAddress string `json:"store_address"`
 	// MemoryMB is the VM's memory in MiB.
 	MemoryMB int `json:"memory_mb"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
 
 	// StopMS is the time from the platform's stop signal until it kills the VM.
 	StopMS int `json:"stop_ms"`
@@ -73,6 +75,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryMB:         128,
+		LinkMbps:         10,
 		StopMS:           8_000,
 		DrainMS:          2_000,
 		EntryTTLMS:       1_000,
@@ -126,6 +129,9 @@
 	if !roster.Rule(s.PickRule).Known() {
 		addProblem("pick_rule", "%q is none of the empty one, %q and %q", s.PickRule, roster.ByLoad, roster.ByHash)
 	}
+	if s.LinkMbps < 1 || s.LinkMbps > 1e6 {
+		addProblem("link_mbps", "%g is not between 1 and 1000000", s.LinkMbps)
+	}
 	ranges := []struct {
 		field            string
 		value            int
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -18,7 +18,7 @@
 	"node|json": `"edge-a-1"`, "zone|json": `"a"`, "ip|json": `"10.1.0.30"`, "ip": "10.1.0.30",
 	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`,
 	"listen.directory|json": `"10.1.0.30:8780"`, "listen.control|json": `"10.1.0.30:8783"`,
-	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134",
+	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134", "limits.link_mbps": "1000.0",
 	"bounds.grace_s": "8", "bounds.drain_ms": "2500", "bounds.lease_ms": "3000", "bounds.version_ms": "15000", "bounds.version_all_ms": "21000", "bounds.retry_budget_ratio": "0.2",
 	"bounds.budget_slack": "58", "bounds.budget_window_s": "10",
 }
@@ -69,7 +69,7 @@
 	want.CallersListen, want.ReadyListen = "10.1.0.30:8782", "10.1.0.30:8789"
 	want.DirectoryListen, want.ControlListen = "10.1.0.30:8780", "10.1.0.30:8783"
 	want.MetricsListen = "10.1.0.30:9464"
-	want.PeerPort, want.StoreAddress, want.MemoryMB = 7340, "10.200.1.7:8784", 134
+	want.PeerPort, want.StoreAddress, want.MemoryMB, want.LinkMbps = 7340, "10.200.1.7:8784", 134, 1000
 	want.Seeds = []string{"10.1.0.30:8783", "10.2.0.22:8783"}
 	want.RetrySlack = 58
 	want.DrainMS = 2500
@@ -86,6 +86,7 @@
 		"name as IP":           {`"ip": "10.1.0.30"`, `"ip": "host"`, "ip"},
 		"store without port":   {`"10.200.1.7:8784"`, `"10.200.1.7"`, "store_address"},
 		"port too large":       {`7340`, `70000`, "peer_port"},
+		"no link":              {`1000.0`, `0`, "link_mbps"},
 		"wrong type":           {`134`, `"much"`, "memory_mb"},
 		"unknown field":        {`"peer_port"`, `"pear_port"`, "pear_port"},
 		"empty placeholder":    {`3000`, ``, ""},
