internal/connend, internal/ingress, internal/entryvm: how connections of callers end

Cause: not known. The logs could not tell it: a panic of a handler and the errors of net/http went to the standard logger, and "caller gone" did not say how the connection had ended.

Change, no decision: package connend records how both directions of a connection ended and when something was last written. "caller gone" and "response not written to the caller" show it; counters callers_gone_by, writes_failed, requests_unanswered (every request read whole that ends without a complete answer, by reason), panics, server_errors. A handler's panic is logged with its stack and the connection closed as before. http.Server.ErrorLog goes to the log and to a counter. Errors of the router are flushed in the handler, so that a failed write is seen.

--- /dev/null
+++ b/internal/connend/connend.go
@@ -0,0 +1,153 @@
+// Package connend records how the connections of a server end, which net/http only
+// shows as the cancelled context of a request.
+//
+// # Usage
+//
+//	listener := connend.Listener{Listener: listener, Now: time.Now}
+//	server.ConnContext = connend.ConnContext
+//	server.Serve(listener)
+//
+// and then in a handler, once the context of its request is cancelled:
+//
+//	state := connend.Of(r.Context())
+//
+// All functions are safe for concurrent use.
+package connend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// End is how a connection has ended.
+type End string
+
+const (
+	// Open connections have not ended, as far as is known.
+	Open End = "open"
+	// EndOfFile means that the peer sends nothing more. It has closed the connection
+	// or only its sending side: only a write can tell.
+	EndOfFile End = "end_of_file"
+	// Reset means that the peer has closed the connection in both directions.
+	Reset End = "reset"
+	// Timeout means that a deadline of the connection has passed.
+	Timeout End = "timeout"
+	// Closed means that this side has closed it.
+	Closed End = "closed"
+	// Failed means any other error.
+	Failed End = "failed"
+)
+
+// State describes a connection.
+type State struct {
+	// Read and Write are how its two directions have ended.
+	Read, Write End
+	// WrittenAt is when something was last written, zero for never.
+	WrittenAt time.Time
+}
+
+// IsHalfOpen reports whether the peer has ended its sending side and may still receive.
+func (s State) IsHalfOpen() bool { return s.Read == EndOfFile && s.Write == Open }
+
+// Listener records how the connections that it accepts end.
+type Listener struct {
+	net.Listener
+	// Now returns the current time.
+	Now func() time.Time
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, now: l.Now, state: State{Read: Open, Write: Open}}, nil
+}
+
+type conn struct {
+	net.Conn
+	now func() time.Time
+
+	mu    sync.Mutex
+	state State
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	// Servers interrupt their own reads by a deadline and go on later.
+	if end := classify(err); end != Open && end != Timeout {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.state.Read = end
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.state.WrittenAt = c.now()
+	}
+	if end := classify(err); end != Open {
+		c.state.Write = end
+	}
+	return n, err
+}
+
+// classify returns what an error of a connection says about its end.
+func classify(err error) End {
+	switch {
+	case err == nil:
+		return Open
+	case errors.Is(err, io.EOF):
+		return EndOfFile
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return Reset
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Timeout
+	case errors.Is(err, net.ErrClosed):
+		return Closed
+	default:
+		return Failed
+	}
+}
+
+type connKey struct{}
+
+// ConnContext adds a connection of a Listener to the context of its requests. Other
+// connections may wrap it, if they have a method NetConn.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	for {
+		if own, ok := c.(*conn); ok {
+			return context.WithValue(ctx, connKey{}, own)
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+// Of returns the state of the connection of a request with this context. It is Open for
+// requests that came through no Listener.
+func Of(ctx context.Context) State {
+	c, found := ctx.Value(connKey{}).(*conn)
+	if !found {
+		return State{Read: Open, Write: Open}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -18,12 +18,14 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/cacheevents"
+	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
@@ -288,13 +291,15 @@
 		if err != nil {
 			return fmt.Errorf("entryvm: listen on %s: %w", s.address, err)
 		}
-		framingListener := framing.Listener{Listener: listener}
+		framingListener := framing.Listener{Listener: connend.Listener{Listener: listener, Now: v.opts.Now}}
 		if i == 0 {
 			listener = framingListener
 		}
-		server := newServer(listener, s.address, s.handler)
+		server := v.newServer(listener, s.address, s.handler)
 		if i == 0 {
-			server.ConnContext = framingListener.ConnContext
+			server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+				return connend.ConnContext(framingListener.ConnContext(ctx, c), c)
+			}
 			server.ConnState = framingListener.ConnState
 		}
 		kratosServers = append(kratosServers, server)
@@ -306,7 +311,7 @@
 
 // newServer returns a kratos HTTP server without a request timeout, since callers'
 // requests end at their deadlines.
-func newServer(listener net.Listener, address string, handler http.Handler) *khttp.Server {
+func (v *VM) newServer(listener net.Listener, address string, handler http.Handler) *khttp.Server {
 	// Without an explicit endpoint kratos enumerates the machine's network
 	// interfaces, which not every platform allows.
 	endpoint := &url.URL{Scheme: "http", Host: address}
@@ -315,9 +320,24 @@
 	server.Handler = handler
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
+	server.ErrorLog = log.New(serverErrors{v, address}, "", 0)
 	return server
 }
 
+// serverErrors counts and logs what a server of net/http reports: failed accepts, and
+// panics outside ingress.Handler.
+type serverErrors struct {
+	vm      *VM
+	address string
+}
+
+// Write implements io.Writer.
+func (e serverErrors) Write(p []byte) (int, error) {
+	metrics.GetOrRegisterCounter("server_errors", e.vm.metrics).Inc(1)
+	e.vm.log.Warn().Str("address", e.address).Str("error", strings.TrimSpace(string(p))).Msg("HTTP server error")
+	return len(p), nil
+}
+
 // metricsServer returns the server of the metrics page, or nil if the settings
 // have no address for it. If the address can't be opened, it logs a warning and
 // returns nil as well, since the VM can serve callers without the page.
@@ -333,7 +353,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
-	return newServer(listener, address, mux)
+	return v.newServer(listener, address, mux)
 }
 
 // noSignal is a signal that is never delivered. The process handles signals and
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -84,6 +84,9 @@
 	ambiguous bool
 }
 
+// NetConn returns the connection that is inspected.
+func (c *inspectedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *inspectedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -178,7 +178,7 @@
 		err = http.NewResponseController(j.w).Flush()
 	}
 	if err != nil {
-		j.logEvent(j.h.opts.Now()).Err(err).Msg("response not written to the caller")
+		j.recordUnwritten(err)
 	}
 }
 
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -15,7 +15,10 @@
 package ingress
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -121,6 +124,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.opts.Now()
+	defer h.handlePanic(r)
 	h.incCounter("requests")
 	stage := h.opts.Stage(now)
 	if stage != Serving {
@@ -128,17 +132,33 @@
 	}
 	if framing.IsAmbiguous(r.Context()) {
 		w.Header().Set("Connection", "close")
-		h.refuse(w, message.Request{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways"))
+		_ = h.refuse(w, message.Request{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways"))
 		return
 	}
 	j, err := h.newJob(now, w, r, stage)
 	if err != nil {
-		h.refuse(w, j.Head, verdict.FromError(err))
+		_ = h.refuse(w, j.Head, verdict.FromError(err)) // the request may not have been read whole
 		return
 	}
 	j.serve()
 }
 
+// handlePanic logs and counts a panic of a request's handler and ends the connection. It
+// must be deferred.
+func (h *Handler) handlePanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	h.incCounter("panics.handler")
+	h.incCounter("requests_unanswered.panic")
+	h.opts.Log.Error().Str("target", r.RequestURI).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("handler panicked")
+	panic(http.ErrAbortHandler)
+}
+
 // newJob reads and checks a caller's request and returns its job. The job holds
 // the decoded request also if there is an error.
 func (h *Handler) newJob(now time.Time, w http.ResponseWriter, r *http.Request, stage Stage) (job, error) {
@@ -162,12 +182,14 @@
 	return j, err
 }
 
-// refuse logs and counts an error of the router and sends it to the caller.
-func (h *Handler) refuse(w http.ResponseWriter, q message.Request, e *verdict.Error) {
+// refuse logs and counts an error of the router and sends it to the caller. It returns
+// an error if the connection does not take it.
+func (h *Handler) refuse(w http.ResponseWriter, q message.Request, e *verdict.Error) error {
 	h.incCounter("refusals." + e.Code)
 	h.opts.Log.Info().Str("request", q.ID).Str("code", e.Code).Int("status", e.Status).Stringer("verdict", e.Verdict).
 		Dur("retry_after", e.RetryAfter).AnErr("cause", e.Err).Msg("request refused")
 	h.opts.Codec.WriteError(w, q.ID, e)
+	return http.NewResponseController(w).Flush()
 }
 
 func (h *Handler) incCounter(name string) {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/intake"
@@ -126,7 +127,7 @@
 		if e.Held() {
 			refusal = refusal.WithRetryAfter(heldRetryAfter)
 		}
-		h.refuse(j.w, j.Head, refusal)
+		j.refuse(refusal)
 		return
 	}
 	ctx := j.r.Context()
@@ -156,6 +157,7 @@
 		}
 	}()
 	for {
+		underWay := len(j.legs)
 		done, err := j.step(ctx)
 		if done {
 			j.recordSuccess()
@@ -166,9 +168,8 @@
 		}
 		now := h.opts.Now()
 		if j.callerGone() {
-			h.incCounter("callers_gone")
-			j.logEvent(now).Msg("caller gone")
-			panic(http.ErrAbortHandler)
+			j.abandon(now, underWay)
+			return
 		}
 		e := verdict.FromError(err)
 		obstacle := j.retryObstacle(now, e)
@@ -280,7 +281,7 @@
 		j.h.incCounter("streams_cut")
 		j.h.incCounter("streams_cut_by." + string(o))
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("stream cut")
-		panic(http.ErrAbortHandler)
+		j.abort("stream_cut")
 	}
 	if j.failure != nil {
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("failure of an upstream passed on")
@@ -295,7 +296,42 @@
 		e = e.WithRetryAfter(max(noUpstreamRetryAfter, j.h.selector.BackoffRetryAfter(now, j.Service.Name)))
 	}
 	j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("request failed")
-	j.h.refuse(j.w, j.Head, e)
+	j.refuse(e)
+}
+
+// refuse sends an error of the router to the caller.
+func (j *job) refuse(e *verdict.Error) {
+	if err := j.h.refuse(j.w, j.Head, e); err != nil {
+		j.recordUnwritten(err)
+	}
+}
+
+// recordUnwritten records an answer that the caller's connection has not taken.
+func (j *job) recordUnwritten(err error) {
+	end := connend.Of(j.r.Context())
+	j.h.incCounter("requests_unanswered.not_written")
+	j.h.incCounter("writes_failed." + string(end.Write))
+	j.logEvent(j.h.opts.Now()).Str("read_end", string(end.Read)).Str("write_end", string(end.Write)).Err(err).Msg("response not written to the caller")
+}
+
+// abandon ends a request whose caller's connection has ended. underWay is the number of
+// attempts that were under way then.
+func (j *job) abandon(now time.Time, underWay int) {
+	end := connend.Of(j.r.Context())
+	j.h.incCounter("callers_gone")
+	j.h.incCounter("callers_gone_by." + string(end.Read))
+	line := j.logEvent(now).Str("read_end", string(end.Read)).Str("write_end", string(end.Write)).Int("open", underWay).Bool("head_sent", j.headSent)
+	if !end.WrittenAt.IsZero() {
+		line.Int64("written_ago_ms", now.Sub(end.WrittenAt).Milliseconds())
+	}
+	line.Msg("caller gone")
+	j.abort("caller_gone")
+}
+
+// abort ends the caller's connection without a complete answer.
+func (j *job) abort(reason string) {
+	j.h.incCounter("requests_unanswered." + reason)
+	panic(http.ErrAbortHandler)
 }
 
 // upstreamQuery describes the request for choosing the upstream of the next attempt.
