internal/ingress: a panic of a handler is answered

Callers saw: a closed connection without an answer if a handler panicked.

Cause: net/http recovers the panic of a handler and closes the connection, whatever has been sent on it.

Change: unless a part of an answer may have been sent, the caller gets 500 with a true verdict: not run if no attempt was sent. Otherwise the connection ends as before, counted as requests_unanswered.panic.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -170,6 +170,7 @@
 
 // write sends an upstream's whole answer to the caller.
 func (j *job) write(a bufferedAnswer) {
+	j.responding = true
 	j.h.opts.Codec.CopyResponseHeader(j.w.Header(), a.response.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	j.w.WriteHeader(a.response.Status)
@@ -233,7 +234,7 @@
 // startStream sends the head of a stream. It is the head of the first upstream,
 // also if the stream is later resumed on another one.
 func (j *job) startStream(l *leg.Leg) {
-	j.headSent = true
+	j.responding, j.headSent = true, true
 	now := j.h.opts.Now()
 	j.beginStream(now, j.h.opts.Upstreams.BuildOf(l.Upstream))
 	j.logEvent(now).Str("upstream", l.Upstream.ID).Float64("cost_ms", l.Choice.CostMS).Msg("first event")
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -124,7 +124,12 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.opts.Now()
-	defer h.handlePanic(r)
+	var j job
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.handlePanic(w, r, &j, cause)
+		}
+	}()
 	h.incCounter("requests")
 	stage := h.opts.Stage(now)
 	if stage != Serving {
@@ -135,51 +140,54 @@
 		_ = h.refuse(w, message.Request{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways"))
 		return
 	}
-	j, err := h.newJob(now, w, r, stage)
-	if err != nil {
+	j = job{h: h, w: w, r: r}
+	if err := j.read(now, stage); err != nil {
 		_ = h.refuse(w, j.Head, verdict.FromError(err)) // the request may not have been read whole
 		return
 	}
 	j.serve()
 }
 
-// handlePanic logs and counts a panic of a request's handler and ends the connection. It
-// must be deferred.
-func (h *Handler) handlePanic(r *http.Request) {
-	cause := recover()
-	if cause == nil {
-		return
-	}
+// handlePanic logs and counts a panic of a request's handler. The caller gets an error if
+// no part of an answer has been sent, otherwise its connection ends.
+func (h *Handler) handlePanic(w http.ResponseWriter, r *http.Request, j *job, cause any) {
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
 	h.incCounter("panics.handler")
-	h.incCounter("requests_unanswered.panic")
-	h.opts.Log.Error().Str("target", r.RequestURI).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("handler panicked")
-	panic(http.ErrAbortHandler)
+	h.opts.Log.Error().Str("request", j.Head.ID).Str("target", r.RequestURI).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("handler panicked")
+	if j.responding {
+		h.incCounter("requests_unanswered.panic")
+		panic(http.ErrAbortHandler)
+	}
+	e := verdict.New(verdict.NotRun, http.StatusInternalServerError, "internal_error", "the router failed")
+	if j.runs > 0 || len(j.legs) > 0 {
+		e = e.WithVerdict(verdict.MayHaveRun)
+	}
+	_ = h.refuse(w, j.Head, e) // the connection may be the reason of the panic
 }
 
-// newJob reads and checks a caller's request and returns its job. The job holds
-// the decoded request also if there is an error.
-func (h *Handler) newJob(now time.Time, w http.ResponseWriter, r *http.Request, stage Stage) (job, error) {
-	j := job{h: h, w: w, r: r}
-	request, err := h.opts.Codec.DecodeRequest(r)
+// read reads and checks the caller's request. The job holds the decoded request also if
+// there is an error.
+func (j *job) read(now time.Time, stage Stage) error {
+	h := j.h
+	request, err := h.opts.Codec.DecodeRequest(j.r)
 	j.Head = request
 	if err != nil {
-		return j, err
+		return err
 	}
 	for _, name := range request.Unusable {
 		h.incCounter("unusable." + name)
 	}
 	if stage == Closing {
-		return j, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the VM is stopping").WithRetryAfter(notReadyRetryAfter)
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the VM is stopping").WithRetryAfter(notReadyRetryAfter)
 	}
 	cfg := h.opts.Configuration.Current()
 	if cfg == nil {
-		return j, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration", "the VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration", "the VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
-	j.Request, err = intake.Read(now, w, r, cfg, request)
-	return j, err
+	j.Request, err = intake.Read(now, j.w, j.r, cfg, request)
+	return err
 }
 
 // refuse logs and counts an error of the router and sends it to the caller. It returns
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -90,6 +90,8 @@
 	// runs counts the attempts that may have run, rejected those that an
 	// upstream rejected, notSent those that got no connection.
 	runs, rejected, notSent int
+	// responding is set once a part of an answer may have been sent.
+	responding bool
 	// headSent is set once the head of a stream was sent to the caller. lastEvent is
 	// the ID of the last event that was sent.
 	headSent  bool
@@ -301,6 +303,7 @@
 
 // refuse sends an error of the router to the caller.
 func (j *job) refuse(e *verdict.Error) {
+	j.responding = true
 	if err := j.h.refuse(j.w, j.Head, e); err != nil {
 		j.recordUnwritten(err)
 	}
