internal/leg: a panic under an attempt ends the attempt, not the process

Callers saw: all requests of a VM lost at once if the goroutine of one attempt panicked, for example on an upstream's answer of a kind that nobody had foreseen.

Cause: an attempt reads in a goroutine of its own since, and nothing recovers there: before, net/http would have.

Evidence: TestPanicsAreAnswered, cases "in its attempt": the test's process ended with "panic: panic of a test in DecodeResponseHead".

Change: Leg.Run passes the panic on as a PanicError. The attempt may have run; it counts as broken by the router (panics.attempt, attempts_broken.panic, the stack is logged), not as a crash of the upstream, and may be retried as after any break.

Result: TestPanicsAreAnswered passes in all four cases.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -115,13 +115,19 @@
 		j.recordBroken(now, l, "caller_gone", err)
 		return errCallerGone
 	}
+	if panicked := (*leg.PanicError)(nil); errors.As(err, &panicked) {
+		j.h.incCounter("panics.attempt")
+		j.h.opts.Log.Error().Str("request", j.Head.ID).Str("upstream", l.Upstream.ID).Str("cause", fmt.Sprint(panicked.Cause)).Bytes("stack", panicked.Stack).Msg("attempt panicked")
+		j.recordBroken(now, l, "panic", err)
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the router failed").WithCause(err)
+	}
 	j.recordBroken(now, l, reasonCut, err)
 	j.h.opts.Fleet.ReportSuspect(now, j.Fingerprint, l.Upstream)
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the upstream broke off").WithObject("upstream/"+l.Upstream.ID, "").WithCause(err)
 }
 
 // recordBroken records an attempt without a complete response. reason is
-// reasonCut, deadline, stopping or caller_gone: an upstream that crashes may do so in silence.
+// reasonCut, deadline, stopping, panic or caller_gone: an upstream that crashes may do so in silence.
 func (j *job) recordBroken(now time.Time, l *leg.Leg, reason string, err error) {
 	j.h.incCounter("attempts_broken." + reason)
 	if tooLong := (*readlimit.Error)(nil); errors.As(err, &tooLong) {
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -14,7 +14,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,7 +144,17 @@
 	Err      error
 }
 
+// PanicError is the error of a leg whose goroutine panicked.
+type PanicError struct {
+	Cause any
+	Stack []byte
+}
+
+// Error implements error.
+func (e *PanicError) Error() string { return fmt.Sprintf("leg: panic: %v", e.Cause) }
+
 // Run sends the request and passes on to out what it reads until the response or ctx ends.
+// If it panics, that is a *PanicError, so that the other requests go on.
 func (l *Leg) Run(ctx context.Context, conn *exchange.Conn, request exchange.Request, id string, out chan<- Received) {
 	defer conn.Close()
 	pass := func(r Received) bool {
@@ -154,6 +166,11 @@
 			return false
 		}
 	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			pass(Received{Err: &PanicError{cause, debug.Stack()}})
+		}
+	}()
 	resp, err := conn.Do(request)
 	if err != nil {
 		pass(Received{Err: err})
