internal/framing: a pipelined request is refused so that it can be sent again

Callers saw: a proper request that is sent before the answer to the previous one got 400 "the request can be read in two ways" if the VM happened to read both at a time. 400 is final: callers don't send such a request again.

Cause: a head that was read together with the previous request isn't inspected, since it is not known where it begins; it was refused like an ambiguous one.

Change: Check tells Ambiguous from Unchecked; the latter gets 503, not run, with a Retry-After of 10 ms, and the connection is closed as before. It still reaches no upstream (TestRequestSmuggling).

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -8,7 +8,10 @@
 //
 // and then, once in the handler of each request:
 //
-//	if framing.IsAmbiguous(r.Context()) { ... refuse, and close the connection ... }
+//	switch framing.Check(r.Context()) {
+//	case framing.Ambiguous: // refuse, and close the connection
+//	case framing.Unchecked: // the same, but the request may be sent again
+//	}
 //
 // A Listener is safe for concurrent use.
 package framing
@@ -62,12 +65,28 @@
 // checkKey is the context key of the framing check.
 type checkKey struct{}
 
-// IsAmbiguous reports whether the head of the request with this context can be read in
-// more than one way. It must be called once per request. It is false for requests that
-// came through no Listener.
-func IsAmbiguous(ctx context.Context) bool {
-	check, found := ctx.Value(checkKey{}).(func() bool)
-	return found && check()
+// Result is what the check of a request's head has found.
+type Result uint8
+
+const (
+	// Clear heads can be read in one way only.
+	Clear Result = iota
+	// Ambiguous heads can be read in more than one way.
+	Ambiguous
+	// Unchecked heads were read together with the previous request, so that it is not
+	// known where they begin. Callers that send a request before they have the answer to
+	// the one before may meet that.
+	Unchecked
+)
+
+// Check returns the result for the head of the request with this context. It must be
+// called once per request. It is Clear for requests that came through no Listener.
+func Check(ctx context.Context) Result {
+	check, found := ctx.Value(checkKey{}).(func() Result)
+	if !found {
+		return Clear
+	}
+	return check()
 }
 
 // inspectedConn inspects the request heads that are read from a connection.
@@ -135,16 +154,18 @@
 	}
 }
 
-// checkHead reports whether the head of the current request was ambiguous, or was
-// not inspected because it was read together with the previous request.
-func (c *inspectedConn) checkHead() bool {
+// checkHead returns the result for the head of the current request.
+func (c *inspectedConn) checkHead() Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.uncheckedHeads == 0 {
-		return true
+		return Unchecked
 	}
 	c.uncheckedHeads--
-	return c.ambiguous
+	if c.ambiguous {
+		return Ambiguous
+	}
+	return Clear
 }
 
 // isAmbiguousHead reports whether a head can be parsed in more than one way.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -90,6 +90,9 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// noUpstreamRetryAfter is the Retry-After of a request that no upstream accepted.
 	noUpstreamRetryAfter = 400 * time.Millisecond
+	// pipelinedRetryAfter is the Retry-After of a request that has to come on a
+	// connection of its own.
+	pipelinedRetryAfter = 10 * time.Millisecond
 )
 
 // Handler is an http.Handler for callers' requests.
@@ -135,9 +138,9 @@
 	if stage != Serving {
 		w.Header().Set("Connection", "close")
 	}
-	if framing.IsAmbiguous(r.Context()) {
+	if e := checkFraming(r); e != nil {
 		w.Header().Set("Connection", "close")
-		_ = h.refuse(w, message.Request{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways"))
+		_ = h.refuse(w, message.Request{}, e) // the request has not been read whole
 		return
 	}
 	j = job{h: h, w: w, r: r}
@@ -148,6 +151,17 @@
 	j.serve()
 }
 
+// checkFraming returns an error if it is not certain where the request begins and ends.
+func checkFraming(r *http.Request) *verdict.Error {
+	switch framing.Check(r.Context()) {
+	case framing.Ambiguous:
+		return verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways")
+	case framing.Unchecked:
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "pipelined", "the request was sent before the answer to the previous one").WithRetryAfter(pipelinedRetryAfter)
+	}
+	return nil
+}
+
 // handlePanic logs and counts a panic of a request's handler. The caller gets an error if
 // no part of an answer has been sent, otherwise its connection ends.
 func (h *Handler) handlePanic(w http.ResponseWriter, r *http.Request, j *job, cause any) {
