internal/framing: the head after empty lines is inspected

Callers saw: nothing.

Cause: net/http skips empty lines before a request. The listener took two of them for a whole head, so that the real head was not inspected.

Evidence: TestEmptyLinesBeforeARequest, case "two lines, ambiguous head": status 200, want 400. The request that reached the upstream was framed anew by the VM, and the bytes after it were refused.

Change: empty lines before a head are skipped.

Result: TestEmptyLinesBeforeARequest and TestRequestSmuggling pass.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -128,6 +128,9 @@
 	if !c.inHead {
 		return
 	}
+	if len(c.head) == 0 {
+		p = bytes.TrimLeft(p, "\r\n") // net/http skips empty lines before a request
+	}
 	c.head = append(c.head, p...)
 	end := bytes.Index(c.head, []byte("\r\n\r\n"))
 	if end < 0 && len(c.head) < maxHeadBytes {
