--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -111,9 +111,15 @@
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		j.recordBroken(now, l, "deadline", err)
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, codeDeadline, "the time for the request is over").WithCause(err)
-	case j.callerGone():
+	case ctx.Err() != nil:
 		j.recordBroken(now, l, "caller_gone", err)
-		return errCallerGone
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeCallerGone, "the caller has disconnected").WithCause(err)
+	}
+	if panicked := (*leg.PanicError)(nil); errors.As(err, &panicked) {
+		j.h.incCounter("panics.attempt")
+		j.h.opts.Log.Error().Str("request", j.Head.ID).Str("upstream", l.Upstream.ID).Str("cause", fmt.Sprint(panicked.Cause)).Bytes("stack", panicked.Stack).Msg("attempt panicked")
+		j.recordBroken(now, l, "panic", err)
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the router failed").WithCause(err)
 	}
 	j.recordBroken(now, l, reasonCut, err)
 	j.h.opts.Fleet.ReportSuspect(now, j.Fingerprint, l.Upstream)
@@ -121,7 +127,7 @@
 }
 
 // recordBroken records an attempt without a complete response. reason is
-// reasonCut, deadline, stopping or caller_gone: an upstream that crashes may do so in silence.
+// reasonCut, deadline, stopping, panic or caller_gone: an upstream that crashes may do so in silence.
 func (j *job) recordBroken(now time.Time, l *leg.Leg, reason string, err error) {
 	j.h.incCounter("attempts_broken." + reason)
 	if tooLong := (*readlimit.Error)(nil); errors.As(err, &tooLong) {
@@ -170,6 +176,7 @@
 
 // write sends an upstream's whole answer to the caller.
 func (j *job) write(a bufferedAnswer) {
+	j.responding = true
 	j.h.opts.Codec.CopyResponseHeader(j.w.Header(), a.response.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	j.w.WriteHeader(a.response.Status)
@@ -178,7 +185,7 @@
 		err = http.NewResponseController(j.w).Flush()
 	}
 	if err != nil {
-		j.logEvent(j.h.opts.Now()).Err(err).Msg("response not written to the caller")
+		j.recordUnwritten(err)
 	}
 }
 
@@ -224,6 +231,9 @@
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeNotTaken, "the caller takes no more of the answer").WithCause(err)
 	}
 	l.AliveAt = j.h.opts.Now() // a slow caller is no silent upstream
+	if !j.end.at.IsZero() {
+		j.end = j.end.WithWrite(l.AliveAt)
+	}
 	if event.ID != "" {
 		j.lastEvent = event.ID
 	}
@@ -233,7 +243,7 @@
 // startStream sends the head of a stream. It is the head of the first upstream,
 // also if the stream is later resumed on another one.
 func (j *job) startStream(l *leg.Leg) {
-	j.headSent = true
+	j.responding, j.headSent = true, true
 	now := j.h.opts.Now()
 	j.beginStream(now, j.h.opts.Upstreams.BuildOf(l.Upstream))
 	j.logEvent(now).Str("upstream", l.Upstream.ID).Float64("cost_ms", l.Choice.CostMS).Msg("first event")
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -52,9 +51,6 @@
 	engineAliveWindow = 900 * time.Millisecond
 )
 
-// errCallerGone is the cause of an attempt that ends since nobody waits for it.
-var errCallerGone = errors.New("ingress: the caller has disconnected")
-
 // Error codes that decide whether a request is retried.
 const (
 	codeUnreachable = "upstream_unreachable"
@@ -64,6 +60,7 @@
 	codeFailed      = "upstream_failed"
 	codeNotTaken    = "answer_not_taken"
 	codeStopping    = "stopping"
+	codeCallerGone  = "caller_gone"
 	// codeUnknownStream is the code of a stream that is taken up and whose build is not
 	// known.
 	codeUnknownStream = "unknown_stream"
@@ -89,6 +86,8 @@
 	// runs counts the attempts that may have run, rejected those that an
 	// upstream rejected, notSent those that got no connection.
 	runs, rejected, notSent int
+	// responding is set once a part of an answer may have been sent.
+	responding bool
 	// headSent is set once the head of a stream was sent to the caller. lastEvent is
 	// the ID of the last event that was sent.
 	headSent  bool
@@ -112,6 +111,11 @@
 	// upstreams that the request was sent to beside it.
 	recheckAt   time.Time
 	triedBeside []string
+	// callerDone is closed when the caller's connection ends, nil if that is not watched.
+	// end is what is known since, and callerTimer fires when it has to be looked at.
+	callerDone  <-chan struct{}
+	end         callerEnd
+	callerTimer *time.Timer
 	// kept is the obstacle that was last logged while an upstream was silent.
 	kept hedge.Obstacle
 }
@@ -126,10 +130,11 @@
 		if e.Held() {
 			refusal = refusal.WithRetryAfter(heldRetryAfter)
 		}
-		h.refuse(j.w, j.Head, refusal)
+		j.refuse(refusal)
 		return
 	}
-	ctx := j.r.Context()
+	// What the end of the caller's connection means is decided in handleCallerEnd.
+	ctx := context.WithoutCancel(j.r.Context())
 	if err := j.resolveStream(ctx); err != nil {
 		j.respondError(h.opts.Now(), verdict.FromError(err), hedge.NoUpstream)
 		return
@@ -139,13 +144,15 @@
 	controller := http.NewResponseController(j.w)
 	_ = controller.SetWriteDeadline(j.Deadline.Add(callerWriteGrace)) // fails only without a connection
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
-	if j.Route.Kind == routing.NonIdempotent {
+	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
+	defer cancel()
+	if j.Route.Kind != routing.NonIdempotent {
 		// A request that must not be repeated is completed even if its caller
 		// disconnects.
-		ctx = context.WithoutCancel(ctx)
+		j.callerDone = j.r.Context().Done()
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
-	defer cancel()
+	j.callerTimer = time.NewTimer(time.Hour)
+	defer j.callerTimer.Stop()
 	j.lastEvent = j.Head.ResumeAfter
 	j.received = make(chan leg.Received, receiveBuffer)
 	j.silence = time.NewTimer(time.Hour)
@@ -156,7 +163,8 @@
 		}
 	}()
 	for {
-		done, err := j.step(ctx)
+		underWay := len(j.legs)
+		done, err := j.step(ctx, cancel)
 		if done {
 			j.recordSuccess()
 			return
@@ -165,10 +173,9 @@
 			continue
 		}
 		now := h.opts.Now()
-		if j.callerGone() {
-			h.incCounter("callers_gone")
-			j.logEvent(now).Msg("caller gone")
-			panic(http.ErrAbortHandler)
+		if j.callerEnded() {
+			j.abandon(now, err, underWay)
+			return
 		}
 		e := verdict.FromError(err)
 		obstacle := j.retryObstacle(now, e)
@@ -184,7 +191,7 @@
 
 // step starts an attempt if none is under way, or else waits for one thing to happen.
 // It returns the error of an attempt that has ended.
-func (j *job) step(ctx context.Context) (done bool, err error) {
+func (j *job) step(ctx context.Context, cancel context.CancelFunc) (done bool, err error) {
 	if len(j.legs) == 0 {
 		return false, j.startLeg(ctx)
 	}
@@ -200,6 +207,12 @@
 	case <-j.silence.C:
 		j.handleSilence(ctx)
 		return false, nil
+	case <-j.callerDone:
+		j.handleCallerEnd(cancel)
+		return false, nil
+	case <-j.callerTimer.C:
+		j.checkCaller(cancel)
+		return false, nil
 	case <-ctx.Done():
 		return false, j.endLegs(ctx)
 	case <-j.h.stopping:
@@ -224,8 +237,6 @@
 		Int("runs", j.runs).Int("rejected", j.rejected).Int("unsent", j.notSent).Str("tried", strings.Join(j.attempted, ","))
 }
 
-func (j *job) callerGone() bool { return errors.Is(j.r.Context().Err(), context.Canceled) }
-
 // retryObstacle returns why the request is not retried on another upstream after an
 // error, hedge.None if it is.
 func (j *job) retryObstacle(now time.Time, e *verdict.Error) hedge.Obstacle {
@@ -280,7 +291,7 @@
 		j.h.incCounter("streams_cut")
 		j.h.incCounter("streams_cut_by." + string(o))
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("stream cut")
-		panic(http.ErrAbortHandler)
+		j.abort("stream_cut")
 	}
 	if j.failure != nil {
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("failure of an upstream passed on")
@@ -295,7 +306,15 @@
 		e = e.WithRetryAfter(max(noUpstreamRetryAfter, j.h.selector.BackoffRetryAfter(now, j.Service.Name)))
 	}
 	j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("request failed")
-	j.h.refuse(j.w, j.Head, e)
+	j.refuse(e)
+}
+
+// refuse sends an error of the router to the caller.
+func (j *job) refuse(e *verdict.Error) {
+	j.responding = true
+	if err := j.h.refuse(j.w, j.Head, e); err != nil {
+		j.recordUnwritten(err)
+	}
 }
 
 // upstreamQuery describes the request for choosing the upstream of the next attempt.
@@ -325,6 +344,9 @@
 
 // startLeg sends the request to one upstream.
 func (j *job) startLeg(ctx context.Context) error {
+	if err := j.checkUnsent(); err != nil {
+		return err
+	}
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
 	choice, err := j.h.selector.Choose(ctx, now, j.selectionRequest(query))
@@ -391,6 +413,9 @@
 func (j *job) checkSend(pickedAt time.Time, u roster.Upstream) error {
 	now := j.h.opts.Now()
 	reason := j.h.selector.Withhold(now, pickedAt, u)
+	if reason == "" && len(j.legs) == 0 && j.checkUnsent() != nil {
+		reason = codeCallerGone
+	}
 	if reason == "" {
 		return nil
 	}
