internal/ingress: log lines of broken attempts name the prompt's parts

The lines now name the shared parts of the prompt and whether the upstream had begun to respond, so that evidence against one part can be told from evidence against whole requests. No decision changed.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -140,7 +140,7 @@
 	j.h.opts.CrashTracker.RecordUnanswered(now, aliveAt, j.Fingerprint, l.Upstream.Incarnation(), reason == reasonCut)
 	e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint)
 	j.logEvent(now).Str("incarnation", l.Upstream.Incarnation()).Str("fingerprint", j.Fingerprint).Str("reason", reason).
-		Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
+		Str("parts", j.Head.SharedIDs()).Bool("begun", l.Begun).Bool("forwarded", l.Forwarded).Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
 }
 
 // forwardBody sends a response that has been read whole to the caller.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,6 +14,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
@@ -56,6 +57,15 @@
 	return q.Parts[:len(q.Parts)-1]
 }
 
+// SharedIDs returns the IDs of the shared parts, separated by commas, for logs.
+func (q Request) SharedIDs() string {
+	var ids []string
+	for _, p := range q.SharedParts() {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // Bounded returns the request with declared sizes of no more than the given number of
 // tokens, which is what an upstream holds: whoever declares more must not make an
 // upstream look busier than it can be. Zero means no bound.
