internal/suspect: evidence against prompt parts

Cause: evidence of a crash was kept under a key that the fault doesn't have, the whole request. In the record 151 of 151 broken attempts have a fingerprint of their own, with one crash at most. The class: evidence under the wrong key.

Change: each attempt without a complete response also counts against the shared parts of its prompt, by organisation, model and ID; each whole answer speaks for them at all VMs. An engine that refuses a connection has ended, whatever its entry says. One VM in turn sends a trial, so that a part that was blamed wrongly is freed. The news go the way of suspect requests (beacons, store).

Why it works: the part that crashes engines is in no whole answer, its neighbours are.

--- a/internal/entryvm/suspects.go
+++ b/internal/entryvm/suspects.go
@@ -5,8 +5,10 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
@@ -27,6 +29,19 @@
 	v.log.Info().Str("source", source).Str("fingerprint", r.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request learned")
 }
 
+// TrialRank implements ingress.Fleet. The order is by rendezvous hashing over the VMs
+// that serve.
+func (v *VM) TrialRank(now time.Time, fingerprint string) int {
+	own := xxhash.Sum64String(fingerprint + "/" + v.settings.Name)
+	rank := 0
+	for _, p := range v.beacon.Alive(now) {
+		if p.State == beacon.Serving && xxhash.Sum64String(fingerprint+"/"+p.Name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // restoreSuspects reads the stored suspects: after a restart of all VMs no peer
 // knows them.
 func (v *VM) restoreSuspects(ctx context.Context) {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -61,6 +61,7 @@
 		return j.handleBroken(ctx, l, errors.New("the response belongs to another request"))
 	}
 	l.AliveAt = now
+	j.h.opts.CrashTracker.RecordAlive(l.SentAt, l.Upstream.Incarnation())
 	if !head.Misdirected {
 		j.h.selector.ObserveLimit(now, l.Upstream, head, l.SentAt)
 	}
@@ -137,7 +138,7 @@
 	if reason == reasonCut {
 		aliveAt = now
 	}
-	j.h.opts.CrashTracker.RecordUnanswered(now, aliveAt, j.Fingerprint, l.Upstream.Incarnation(), reason == reasonCut)
+	j.recordSuspicion(now, aliveAt, l, reason == reasonCut)
 	e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint)
 	j.logEvent(now).Str("incarnation", l.Upstream.Incarnation()).Str("fingerprint", j.Fingerprint).Str("reason", reason).
 		Str("parts", j.Head.SharedIDs()).Bool("begun", l.Begun).Bool("forwarded", l.Forwarded).Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
@@ -163,6 +164,7 @@
 	}
 	j.dropOthers(l)
 	j.runs++
+	j.failed = status >= http.StatusBadRequest
 	j.endLeg(l)
 	j.write(bufferedAnswer{l.Response, body})
 	return true, nil
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -45,6 +45,9 @@
 	// ReportSuspect announces to all VMs that an upstream broke off its response
 	// to the request with the given fingerprint.
 	ReportSuspect(now time.Time, fingerprint string, u roster.Upstream)
+	// TrialRank returns this VM's place in the order in which VMs may send a request
+	// with a blocked prompt part, 0 for the first.
+	TrialRank(now time.Time, fingerprint string) int
 }
 
 // Options configures a Handler. All fields but Log and Streams are required.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -28,9 +28,6 @@
 	maxConnectAttempts = 4
 	// maxRejections limits the upstreams that may reject one request.
 	maxRejections = 3
-	// heldRetryAfter is the Retry-After of a request that is held until it is known
-	// whether the upstreams that broke off have crashed.
-	heldRetryAfter = 2 * time.Second
 	// silenceRecheckInterval is the time between two checks of a silent upstream whose
 	// request could not be sent elsewhere as well.
 	silenceRecheckInterval = 200 * time.Millisecond
@@ -107,6 +104,8 @@
 	// failure is the answer of an upstream that failed, for the caller if no other one
 	// answers. It has maxKeptFailure bytes at most.
 	failure *bufferedAnswer
+	// failed is set if the answer that the caller got is an upstream's failure.
+	failed bool
 	// recheckAt is when a silent upstream is looked at again. triedBeside lists the
 	// upstreams that the request was sent to beside it.
 	recheckAt   time.Time
@@ -124,12 +123,7 @@
 // error if none does.
 func (j *job) serve() {
 	h := j.h
-	if e := h.opts.CrashTracker.Evidence(j.StartedAt, j.Fingerprint); e.Blocked() || e.Held() {
-		j.logEvent(j.StartedAt).Str("fingerprint", j.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("request blocked")
-		refusal := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "crashes_upstreams", "upstreams have crashed while they ran this request")
-		if e.Held() {
-			refusal = refusal.WithRetryAfter(heldRetryAfter)
-		}
+	if refusal := j.checkSuspicion(j.StartedAt); refusal != nil {
 		j.refuse(refusal)
 		return
 	}
@@ -223,7 +217,7 @@
 // recordSuccess updates the metrics and logs a request that was answered.
 func (j *job) recordSuccess() {
 	now := j.h.opts.Now()
-	j.h.opts.CrashTracker.RecordCompleted(now, j.Fingerprint)
+	j.clearSuspicion(now)
 	metrics.GetOrRegisterHistogram("answer_us."+j.Route.Kind.String(), j.h.opts.Metrics, metrics.NewExpDecaySample(latencySampleSize, latencySampleAlpha)).
 		Update(now.Sub(j.StartedAt).Microseconds())
 	j.h.incCounter("answers")
@@ -280,7 +274,7 @@
 func (j *job) state(now time.Time) hedge.State {
 	return hedge.State{
 		Route: j.Route, Runs: j.runs, Open: len(j.legs), HeadSent: j.headSent, AfterEvent: j.lastEvent != "",
-		Blocked: j.h.opts.CrashTracker.IsBlocked(now, j.Fingerprint), TimeLeft: j.Deadline.Sub(now),
+		Blocked: j.isSuspected(now), TimeLeft: j.Deadline.Sub(now),
 	}
 }
 
@@ -375,6 +369,7 @@
 		}
 		if ctx.Err() == nil {
 			j.h.opts.Upstreams.ReportUnreachable(j.h.opts.Now(), u.ID)
+			j.h.recordRefused(j.h.opts.Now(), u, err)
 			j.h.opts.Log.Warn().Str("upstream", u.ID).Err(err).Msg("upstream unreachable")
 		}
 		cancel()
@@ -397,10 +392,7 @@
 	})
 	j.legs = append(j.legs, l)
 	j.watchSilence()
-	if e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint); e.Broken > 0 {
-		j.h.incCounter("suspects_sent")
-		j.logEvent(now).Str("incarnation", u.Incarnation()).Str("fingerprint", j.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request sent")
-	}
+	j.logSuspicion(now, u)
 	j.logEvent(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
 		Int("places", choice.FreeSlots).Int("candidates", choice.Candidates).Bool("fit", choice.Healthy).Bool("home", choice.Home).Float64("first_ms", choice.FirstTokenMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Str("build", u.Build).
 		Int("open", len(j.legs)).Func(j.h.selector.LogLimit(u)).Msg("request sent")
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -117,7 +117,7 @@
 		now := j.h.opts.Now()
 		if other.SentAt.Before(l.SentAt) {
 			// It may have crashed in silence.
-			j.h.opts.CrashTracker.RecordUnanswered(now, other.LastSign(), j.Fingerprint, other.Upstream.Incarnation(), false)
+			j.recordSuspicion(now, other.LastSign(), other, false)
 		}
 		j.h.incCounter("attempts_dropped")
 		j.logEvent(now).Str("upstream", other.Upstream.ID).Str("goes_on_at", l.Upstream.ID).Msg("attempt dropped for another one")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/quarantine"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
+	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -44,8 +45,10 @@
 	Configuration *routing.Config
 	Revision      uint64
 	Body          []byte
-	// Fingerprint is the same for all attempts of a request, at any VM.
+	// Fingerprint is the same for all attempts of a request, at any VM. Parts holds the
+	// fingerprints of the shared parts of its prompt.
 	Fingerprint string
+	Parts       []string
 }
 
 // Read reads the rest of a request that arrived now. Its error is a *verdict.Error; the
@@ -60,6 +63,9 @@
 		return q, err
 	}
 	q.Fingerprint = quarantine.Fingerprint(q.Organisation.Name, r.Method+" "+r.Host+r.RequestURI, q.Body)
+	if q.Service.Engine {
+		q.Parts = suspect.PartFingerprints(q.Organisation.Name, q.Head.Model, q.Head.SharedParts())
+	}
 	return q, nil
 }
 
--- a/internal/suspect/report.go
+++ b/internal/suspect/report.go
@@ -12,6 +12,12 @@
 type Report struct {
 	Fingerprint string         `json:"fingerprint" cbor:"1,keyasint"`
 	Broken      []BrokenReport `json:"broken" cbor:"2,keyasint"`
+	// CompletedAgeMS is the time since the prompt part was last part of a whole answer, 0
+	// if it is not known to have been. Trials is the number of trials since then, and
+	// TriedAgeMS the time since the last one. They are sent for prompt parts only.
+	CompletedAgeMS int64 `json:"completed_age_ms,omitempty" cbor:"3,keyasint,omitempty"`
+	Trials         int   `json:"trials,omitempty" cbor:"4,keyasint,omitempty"`
+	TriedAgeMS     int64 `json:"tried_age_ms,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // BrokenReport tells that an incarnation did not complete a response.
@@ -30,6 +36,10 @@
 	for i := range r.Broken {
 		r.Broken[i].AgeMS += by.Milliseconds()
 	}
+	if r.CompletedAgeMS > 0 {
+		r.CompletedAgeMS += by.Milliseconds()
+	}
+	r.TriedAgeMS += by.Milliseconds()
 	return r
 }
 
@@ -42,6 +52,9 @@
 	// the news.
 	maxReports      = 32
 	repeatedReports = 4
+	// reportedCrashes is the number of crashes from which all VMs are told what is known
+	// of a part, for and against it.
+	reportedCrashes = 2
 	// maxReported limits the responses in a report.
 	maxReported = 4
 )
@@ -59,10 +72,7 @@
 func (t *Tracker) Reports(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// Those with the most evidence first: a mass crash makes many suspects.
-	slices.SortStableFunc(t.fresh, func(a, b string) int {
-		return cmp.Compare(t.evidence(now, b).Crashes, t.evidence(now, a).Crashes)
-	})
+	t.sortFresh(now)
 	var list []Report
 	var later []string
 	for i, fingerprint := range t.fresh {
@@ -87,6 +97,19 @@
 	return list
 }
 
+// sortFresh puts those with the most evidence first, if not all can be told at once: a
+// mass crash makes many suspects. The caller holds the lock.
+func (t *Tracker) sortFresh(now time.Time) {
+	if len(t.fresh) <= maxReports-repeatedReports {
+		return
+	}
+	weights := make(map[string]int, len(t.fresh))
+	for _, fingerprint := range t.fresh {
+		weights[fingerprint] = t.evidence(now, fingerprint).weight()
+	}
+	slices.SortStableFunc(t.fresh, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+}
+
 // nextBlocked returns the blocked requests whose turn it is to be repeated. The
 // caller holds the lock.
 func (t *Tracker) nextBlocked(now time.Time) []string {
@@ -137,9 +160,19 @@
 // responses next. The caller holds the lock.
 func (t *Tracker) report(now time.Time, fingerprint string) Report {
 	r := Report{Fingerprint: fingerprint}
-	broken := t.suspects[fingerprint].broken
-	for _, incarnation := range slices.Sorted(maps.Keys(broken)) {
-		b := broken[incarnation]
+	s := t.suspects[fingerprint]
+	part := isPart(fingerprint)
+	if part && !s.completedAt.IsZero() && now.Sub(s.completedAt) < TTL {
+		r.CompletedAgeMS = max(1, now.Sub(s.completedAt).Milliseconds())
+	}
+	if s.trials > 0 {
+		r.Trials, r.TriedAgeMS = s.trials, now.Sub(s.triedAt).Milliseconds()
+	}
+	for _, incarnation := range slices.Sorted(maps.Keys(s.broken)) {
+		b := s.broken[incarnation]
+		if part && !b.aliveAt.After(s.completedAt) {
+			continue
+		}
 		r.Broken = append(r.Broken, BrokenReport{Incarnation: incarnation, AgeMS: now.Sub(b.aliveAt).Milliseconds(), Crashed: b.crashed, Cut: b.cut})
 	}
 	slices.SortStableFunc(r.Broken, func(a, b BrokenReport) int {
@@ -151,16 +184,43 @@
 		}
 		return cmp.Compare(a.AgeMS, b.AgeMS)
 	})
+	if part {
+		r.Broken = selectBursts(r.Broken)
+	}
 	r.Broken = r.Broken[:min(maxReported, len(r.Broken))]
 	return r
 }
 
+// selectBursts returns maxReported elements of a list, known crashes first, which are
+// evenly spaced in time so that they show its bursts.
+func selectBursts(list []BrokenReport) []BrokenReport {
+	crashed := slices.IndexFunc(list, func(b BrokenReport) bool { return !b.Crashed })
+	if crashed < 0 {
+		crashed = len(list)
+	}
+	chosen := spread(list[:crashed], maxReported)
+	return append(chosen, spread(list[crashed:], maxReported-len(chosen))...)
+}
+
+// spread returns up to n elements of a list, evenly spaced.
+func spread(list []BrokenReport, n int) []BrokenReport {
+	if len(list) <= n {
+		return slices.Clone(list)
+	}
+	chosen := make([]BrokenReport, n)
+	for i := range chosen {
+		chosen[i] = list[i*len(list)/n]
+	}
+	return chosen
+}
+
 // Merge adds a report of a peer or of the store. It reports whether the report
 // told anything new, and passes news on with the next reports.
 func (t *Tracker) Merge(now time.Time, r Report) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.evidence(now, r.Fingerprint)
+	t.mergeHistory(now, r)
 	for _, b := range r.Broken {
 		age := time.Duration(b.AgeMS) * time.Millisecond
 		if age < 0 || age > TTL {
@@ -171,3 +231,29 @@
 	after := t.evidence(now, r.Fingerprint)
 	return after.Broken > before.Broken || after.Crashes > before.Crashes
 }
+
+// mergeHistory adds what a report says of whole answers and trials. The caller holds the
+// lock.
+func (t *Tracker) mergeHistory(now time.Time, r Report) {
+	s := t.suspects[r.Fingerprint]
+	if !isPart(r.Fingerprint) || s == nil && len(r.Broken) == 0 {
+		return
+	}
+	if s == nil {
+		t.evictSuspects(now)
+		s = &entry{broken: make(map[string]brokenResponse), completedAt: t.sound.get(r.Fingerprint)}
+		t.suspects[r.Fingerprint] = s
+	}
+	if age := time.Duration(r.CompletedAgeMS) * time.Millisecond; age > 0 && age < TTL {
+		before := t.evidence(now, r.Fingerprint).Likely
+		s.complete(now.Add(-age))
+		if before >= reportedCrashes && t.evidence(now, r.Fingerprint).Likely < before {
+			t.markFresh(r.Fingerprint)
+		}
+	}
+	age := time.Duration(r.TriedAgeMS) * time.Millisecond
+	if triedAt := now.Add(-age); r.Trials > 0 && age >= 0 && age < TTL && triedAt.After(s.completedAt) && r.Trials > s.trials {
+		s.trials, s.triedAt = min(r.Trials, maxTrials), triedAt
+		t.markFresh(r.Fingerprint)
+	}
+}
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -1,19 +1,31 @@
 // Package suspect finds out which requests crash the upstreams that run them, so that
-// no VM sends them again.
+// no VM sends them again: a request that is repeated, or any request whose prompt holds
+// a certain part.
+//
+// Evidence is held against the fingerprint of a request and against those of the shared
+// parts of its prompt. A whole answer speaks for the parts of its prompt, at all VMs, so
+// that parts that only stood beside the one that crashes upstreams are not blocked. Now
+// and then one VM sends a request although a part of it is blocked, as a trial.
 //
 // # Usage
 //
 //	tracker := suspect.NewTracker()
-//	tracker.RecordUnanswered(now, aliveAt, fingerprint, incarnation, true)
-//	tracker.RecordEnded(now, changes) // of the list of upstreams
-//	if tracker.IsBlocked(now, fingerprint) {
+//	parts := suspect.PartFingerprints(organisation, model, shared)
+//	if finding, blocked := tracker.Check(now, fingerprint, parts, rank); blocked {
 //		// Reject the request.
 //	}
+//	// and when it has been sent
+//	tracker.RecordAlive(sentAt, incarnation)
+//	tracker.RecordUnanswered(now, aliveAt, fingerprint, incarnation, true)
+//	tracker.RecordCompleted(now, fingerprint)
+//	tracker.RecordEnded(now, changes) // of the list of upstreams
 //
 // VMs exchange what they know: Reports returns what to tell, Merge takes it.
 package suspect
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +40,9 @@
 	crashesToBlock = 2
 	cutsToHold     = 4
 	holdPeriod     = 8 * time.Second
+	// heldRetryAfter is when a request should come back that is held until it is known
+	// whether upstreams have crashed.
+	heldRetryAfter = 2 * time.Second
 	// TTL is how long a broken response counts against a request.
 	TTL         = 10 * time.Minute
 	maxSuspects = 4096
@@ -37,8 +52,10 @@
 	// the observed end. A later end does not count as a crash. Ends are observed
 	// late when the store was away.
 	maxEndDelay = 30 * time.Second
-	// maxIncarnations limits the incarnations recorded per request.
+	// maxIncarnations limits the incarnations recorded per suspect, maxHeard those of
+	// which it is recorded when they last responded.
 	maxIncarnations = 64
+	maxHeard        = 1024
 )
 
 // Tracker detects requests that crash the upstreams that run them. A request
@@ -62,15 +79,24 @@
 	// repeatAfter is the fingerprint of the blocked request that was last repeated
 	// to peers.
 	repeatAfter string
+	// heard holds, for each incarnation that has broken off a response, when the last
+	// request was sent that it has responded to.
+	heard map[string]time.Time
+	// sound holds when prompt parts were last part of a whole answer.
+	sound recent
 }
 
 // entry holds what is known against one request.
 type entry struct {
 	// broken is keyed by incarnation.
 	broken map[string]brokenResponse
-	// completedAt is when the request last ran to completion on this VM. Earlier
-	// broken responses do not count.
+	// completedAt is when the request last ran to completion on this VM, or a request
+	// with the part on any VM. Earlier broken responses do not count.
 	completedAt time.Time
+	// trials is the number of trials since then, and triedAt is when the last one was
+	// sent.
+	trials  int
+	triedAt time.Time
 	// own reports whether the request has run through this VM.
 	own bool
 }
@@ -93,6 +119,7 @@
 		ended:      make(map[string]time.Time),
 		mayBlock:   make(map[string]bool),
 		roundsLeft: make(map[string]int),
+		heard:      make(map[string]time.Time),
 	}
 }
 
@@ -103,7 +130,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordBroken(now, aliveAt, fingerprint, incarnation, cut)
-	t.suspects[fingerprint].own = true
+	s := t.suspects[fingerprint]
+	s.own = true
+	if cut && isPart(fingerprint) && s.broken[incarnation].aliveAt.After(s.completedAt) {
+		// Crashes of a part are spread over VMs of which each may see only one.
+		t.markFresh(fingerprint)
+	}
+}
+
+// RecordAlive records that an incarnation has responded to a request sent at sentAt.
+func (t *Tracker) RecordAlive(sentAt time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at, cut := t.heard[incarnation]; cut && sentAt.After(at) {
+		t.heard[incarnation] = sentAt
+	}
+}
+
+// heardAfter reports whether an incarnation has responded to a request that was sent
+// after a time. The caller holds the lock.
+func (t *Tracker) heardAfter(incarnation string, at time.Time) bool {
+	return t.heard[incarnation].After(at)
+}
+
+// watchForLife begins to record when an incarnation responds. The caller holds the lock.
+func (t *Tracker) watchForLife(incarnation string) {
+	if _, watched := t.heard[incarnation]; watched {
+		return
+	}
+	if len(t.heard) >= maxHeard {
+		clear(t.heard)
+	}
+	t.heard[incarnation] = time.Time{}
 }
 
 // RecordBroken records that an incarnation broke off its response to a request,
@@ -124,7 +182,7 @@
 	s := t.suspects[fingerprint]
 	if s == nil {
 		t.evictSuspects(now)
-		s = &entry{broken: make(map[string]brokenResponse)}
+		s = &entry{broken: make(map[string]brokenResponse), completedAt: t.sound.get(fingerprint)}
 		t.suspects[fingerprint] = s
 	}
 	old, known := s.broken[incarnation]
@@ -132,15 +190,26 @@
 		// The first time is closest to the crash.
 		b = brokenResponse{aliveAt: old.aliveAt, cut: old.cut || b.cut, crashed: old.crashed || b.crashed}
 	}
-	if b == old || !known && len(s.broken) >= maxIncarnations {
+	if b == old {
+		return
+	}
+	if !known && len(s.broken) >= maxIncarnations {
+		maps.DeleteFunc(s.broken, func(_ string, b brokenResponse) bool {
+			return now.Sub(b.aliveAt) > TTL || !b.aliveAt.After(s.completedAt)
+		})
+	}
+	if !known && len(s.broken) >= maxIncarnations {
 		return
 	}
 	s.broken[incarnation] = b
+	if b.cut {
+		t.watchForLife(incarnation)
+	}
 	e := t.evidence(now, fingerprint)
 	if e.Blocked() {
 		t.mayBlock[fingerprint] = true
 	}
-	if b.crashed || b.cut && e.CutLately > 1 {
+	if (b.crashed || b.cut && e.CutLately >= reportedCrashes) && b.aliveAt.After(s.completedAt) {
 		t.markFresh(fingerprint)
 	}
 }
@@ -157,21 +226,40 @@
 // upstream list. The end of a leaving upstream is no crash, and an upstream whose
 // entry has expired in an outage of the store may be alive.
 func (t *Tracker) RecordEnded(now time.Time, changes []roster.Change) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	ended := make(map[string]bool)
+	var ended []string
 	for _, c := range changes {
 		if c.EndedIncarnation != "" && c.Kind != roster.Expired && !c.Upstream.Leaving {
-			t.ended[c.EndedIncarnation] = now
-			ended[c.EndedIncarnation] = true
+			ended = append(ended, c.EndedIncarnation)
 		}
 	}
-	if len(ended) == 0 {
+	t.recordEnds(now, ended...)
+}
+
+// RecordRefused records that the machine of an upstream that does not leave has refused a
+// connection: the incarnation has ended, whatever its entry says. It may be back under the
+// same entry.
+func (t *Tracker) RecordRefused(now time.Time, incarnation string) {
+	t.mu.Lock()
+	_, cut := t.heard[incarnation]
+	t.mu.Unlock()
+	if cut {
+		t.recordEnds(now, incarnation)
+	}
+}
+
+// recordEnds records the ends of incarnations.
+func (t *Tracker) recordEnds(now time.Time, incarnations ...string) {
+	if len(incarnations) == 0 {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, incarnation := range incarnations {
+		t.ended[incarnation] = now
+	}
 	for fingerprint, s := range t.suspects {
-		for incarnation, b := range s.broken {
-			if ended[incarnation] && isCrash(b.aliveAt, now) {
+		for _, incarnation := range incarnations {
+			if b, known := s.broken[incarnation]; known && isCrash(b.aliveAt, now) {
 				t.merge(now, fingerprint, incarnation, brokenResponse{crashed: true})
 			}
 		}
@@ -183,40 +271,49 @@
 	}
 }
 
-// RecordCompleted records that an upstream completed its response to the request.
-// What was known against the request before does not count any more on this VM.
+// RecordCompleted records that an upstream completed its response to a request. What
+// was known before against the request, or against a part of its prompt, does not count
+// any more: on this VM, and in the case of a part on all VMs.
 func (t *Tracker) RecordCompleted(now time.Time, fingerprint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[fingerprint]; s != nil {
-		s.completedAt = now
+	part := isPart(fingerprint)
+	if part {
+		t.sound.put(fingerprint, now)
+	}
+	s := t.suspects[fingerprint]
+	if s == nil {
+		return
 	}
+	if part && t.evidence(now, fingerprint).Likely >= reportedCrashes {
+		t.markFresh(fingerprint)
+	}
+	s.complete(now)
 }
 
-// IsBlocked reports whether the request must not be sent: it has crashed too many
-// upstreams, or several have broken off their responses to it lately.
-func (t *Tracker) IsBlocked(now time.Time, fingerprint string) bool {
-	e := t.Evidence(now, fingerprint)
-	return e.Blocked() || e.Held()
+// complete records that a response was completed.
+func (s *entry) complete(at time.Time) {
+	if !at.After(s.completedAt) {
+		return
+	}
+	s.completedAt = at
+	if !s.triedAt.After(at) {
+		s.trials = 0
+	}
 }
 
-// Evidence is what is known against a request.
-type Evidence struct {
-	// Broken is the number of incarnations that did not complete their response to
-	// the request, CutLately the number of those that broke it off within holdPeriod,
-	// and Crashes the number of those that are known to have crashed.
-	Broken    int `json:"broken"`
-	CutLately int `json:"cut_lately"`
-	Crashes   int `json:"crashes"`
+// IsBlocked reports whether a request with one of the fingerprints must not be sent
+// again: too many upstreams have crashed on it, or several have broken off their
+// responses to it lately.
+func (t *Tracker) IsBlocked(now time.Time, fingerprints ...string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(fingerprints, func(fingerprint string) bool {
+		e := t.evidence(now, fingerprint)
+		return e.Blocked() || e.Held()
+	})
 }
 
-// Blocked reports whether the request has crashed too many upstreams.
-func (e Evidence) Blocked() bool { return e.Crashes >= crashesToBlock }
-
-// Held reports whether so many upstreams have broken off their responses lately that
-// the request waits until it is known whether they have crashed.
-func (e Evidence) Held() bool { return !e.Blocked() && e.CutLately >= cutsToHold }
-
 // Evidence returns what is known against the request.
 func (t *Tracker) Evidence(now time.Time, fingerprint string) Evidence {
 	t.mu.Lock()
@@ -224,29 +321,6 @@
 	return t.evidence(now, fingerprint)
 }
 
-// evidence implements Evidence. The caller holds the lock.
-func (t *Tracker) evidence(now time.Time, fingerprint string) Evidence {
-	var e Evidence
-	s := t.suspects[fingerprint]
-	if s == nil {
-		return e
-	}
-	for _, b := range s.broken {
-		age := now.Sub(b.aliveAt)
-		if age > TTL || !b.aliveAt.After(s.completedAt) {
-			continue
-		}
-		e.Broken++
-		if b.cut && age < holdPeriod {
-			e.CutLately++
-		}
-		if b.crashed {
-			e.Crashes++
-		}
-	}
-	return e
-}
-
 // Entries returns the evidence against all suspects by fingerprint, for operators.
 func (t *Tracker) Entries(now time.Time) map[string]Evidence {
 	t.mu.Lock()
