--- a/internal/health/ejections.go
+++ b/internal/health/ejections.go
@@ -52,7 +52,8 @@
 	trialsToReturn = 2
 	// trialTimeout is how long a trial without an outcome delays the next one.
 	trialTimeout = 2 * time.Second
-	// otherTrialDelay is how long a trial waits for a request that may be repeated.
+	// otherTrialDelay is how long a trial waits for a request that may be repeated,
+	// unless the last trial waited for one in vain.
 	otherTrialDelay = 2 * time.Second
 	// maxTrialDelay limits the time without a trial because those of peers break.
 	maxTrialDelay = 2 * time.Second
@@ -117,6 +118,8 @@
 	pause                time.Duration
 	// soundTrials is the number of sound trials in a row.
 	soundTrials int
+	// inVain is set if the last trial was not a request that may be repeated.
+	inVain bool
 }
 
 // outcome is the outcome of one request, which is identified by a hash.
@@ -380,7 +383,7 @@
 }
 
 // TrialDue reports whether an ejected incarnation may get a trial. Requests that must not
-// be repeated are trials only if no others come.
+// be repeated are trials only while no others come.
 func (x *Ejections) TrialDue(now time.Time, incarnation string, repeatable bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -396,7 +399,7 @@
 	if !e.trialDue(now, repeatable) {
 		return false
 	}
-	e.lastTrial, e.nextTrial = now, now.Add(trialTimeout)
+	e.lastTrial, e.nextTrial, e.inVain = now, now.Add(trialTimeout), !repeatable
 	return true
 }
 
@@ -405,7 +408,7 @@
 		return false
 	}
 	due := e.nextTrial
-	if !repeatable {
+	if !repeatable && !e.inVain {
 		due = due.Add(otherTrialDelay)
 	}
 	return !now.Before(due)
--- a/internal/health/ejections_test.go
+++ b/internal/health/ejections_test.go
@@ -137,7 +137,9 @@
 	}
 	breaks()
 	got = append(got, next(false))
-	if diff := cmp.Diff([]int{300, 2000, 600, 1000, 1000, 3000}, got); diff != "" {
+	breaks()
+	got = append(got, next(false))
+	if diff := cmp.Diff([]int{300, 2000, 600, 1000, 1000, 3000, 1000}, got); diff != "" {
 		t.Errorf("time to each trial in ms: %s", diff)
 	}
 	sound := func() bool {
