--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -114,6 +114,9 @@
 	if !end.WrittenAt.IsZero() {
 		line.Int64("written_ago_ms", now.Sub(end.WrittenAt).Milliseconds())
 	}
+	if ago, known := connend.ReceivedAgo(j.r.Context()); known {
+		line.Int64("received_ago_ms", ago.Milliseconds())
+	}
 	line.Msg("caller gone")
 	if j.headSent {
 		j.abort("caller_gone")
