internal/connend: the time of the last data is unknown where the system fills in zeros

A request read late, whose caller had given up, could be sent (GONE), since the time of its last byte seemed to be 0.

Change: it is known only if the system counts the bytes.

Result: tests of connend and platform pass.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -126,7 +126,8 @@
 }
 
 // ReceivedAgo returns how long ago the system received the last data of the peer, which
-// the process may have read later. known is false if the system does not tell.
+// the process may have read later. known is false if the system does not tell: some fill
+// in zeros.
 func ReceivedAgo(ctx context.Context) (ago time.Duration, known bool) {
 	c, found := ctx.Value(connKey{}).(*conn)
 	if !found {
@@ -142,7 +143,7 @@
 	}
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
+		if err == nil && info.Bytes_received > 0 {
 			ago, known = time.Duration(info.Last_data_recv)*time.Millisecond, true
 		}
 	})
--- a/internal/connend/connend_test.go
+++ b/internal/connend/connend_test.go
@@ -11,6 +11,9 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 )
 
+// pause is how long a connection is open after its last data.
+const pause = 100 * time.Millisecond
+
 func TestOf(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
@@ -39,6 +42,9 @@
 				w.WriteHeader(http.StatusOK)
 				_ = http.NewResponseController(w).Flush() // the state shows whether it was written
 				<-r.Context().Done()
+				if ago, known := connend.ReceivedAgo(r.Context()); known && ago < pause/2 || !known && test.halfOpen {
+					t.Errorf("data received %v ago, known %v, want %v", ago, known, pause)
+				}
 				got <- connend.Of(r.Context())
 			})}
 			go func() { _ = server.Serve(connend.Listener{Listener: l, Now: time.Now}) }()
@@ -54,6 +60,7 @@
 			if _, err := c.Read(make([]byte, 1<<10)); err != nil {
 				t.Fatal(err)
 			}
+			time.Sleep(pause)
 			if err := test.end(c.(*net.TCPConn)); err != nil {
 				t.Fatal(err)
 			}
