internal/ingress: a request that arrives when the VM ends is refused as not run

Callers saw: 504, may have run, for a request that arrives in the last moments of a VM's stop, on a kept connection, after the requests under way were ended. A filing can't be sent again after that.

Cause: an attempt was started, and given up in the next step since the VM stops. It happens where callers may use a look-up for longer than the stop lasts, so that the VM never reaches the stage in which it refuses new requests, and to requests that wait for a permit or connection when the stop ends.

Evidence: TestRequestsThatArriveWhenTheVMEndsAreNotSent, 4 of 4 kinds answered 504, one of the requests at the upstream already.

Change: no attempt is started once the requests under way have been ended; 503, not run.

Result: the test passes.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -341,6 +341,11 @@
 	if err := j.checkUnsent(); err != nil {
 		return err
 	}
+	select {
+	case <-j.h.stopping:
+		return stoppingError()
+	default:
+	}
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
 	choice, err := j.h.selector.Choose(ctx, now, j.selectionRequest(query))
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -142,9 +142,14 @@
 	return err
 }
 
+// stoppingError is the error of a request that is not sent since the VM is about to end.
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the VM stops").WithRetryAfter(notReadyRetryAfter)
+}
+
 // endForStop ends all attempts since the VM is about to end.
 func (j *job) endForStop() error {
-	err := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the VM stops").WithRetryAfter(notReadyRetryAfter)
+	err := stoppingError()
 	for _, l := range slices.Clone(j.legs) {
 		j.runs++
 		j.endLeg(l)
