--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -29,9 +28,6 @@
 	maxConnectAttempts = 4
 	// maxRejections limits the upstreams that may reject one request.
 	maxRejections = 3
-	// heldRetryAfter is the Retry-After of a request that is held until it is known
-	// whether the upstreams that broke off have crashed.
-	heldRetryAfter = 2 * time.Second
 	// silenceRecheckInterval is the time between two checks of a silent upstream whose
 	// request could not be sent elsewhere as well.
 	silenceRecheckInterval = 200 * time.Millisecond
@@ -52,9 +48,6 @@
 	engineAliveWindow = 900 * time.Millisecond
 )
 
-// errCallerGone is the cause of an attempt that ends since nobody waits for it.
-var errCallerGone = errors.New("ingress: the caller has disconnected")
-
 // Error codes that decide whether a request is retried.
 const (
 	codeUnreachable = "upstream_unreachable"
@@ -64,6 +57,7 @@
 	codeFailed      = "upstream_failed"
 	codeNotTaken    = "answer_not_taken"
 	codeStopping    = "stopping"
+	codeCallerGone  = "caller_gone"
 	// codeUnknownStream is the code of a stream that is taken up and whose build is not
 	// known.
 	codeUnknownStream = "unknown_stream"
@@ -89,6 +83,8 @@
 	// runs counts the attempts that may have run, rejected those that an
 	// upstream rejected, notSent those that got no connection.
 	runs, rejected, notSent int
+	// responding is set once a part of an answer may have been sent.
+	responding bool
 	// headSent is set once the head of a stream was sent to the caller. lastEvent is
 	// the ID of the last event that was sent.
 	headSent  bool
@@ -108,10 +104,17 @@
 	// failure is the answer of an upstream that failed, for the caller if no other one
 	// answers. It has maxKeptFailure bytes at most.
 	failure *bufferedAnswer
+	// failed is set if the answer that the caller got is an upstream's failure.
+	failed bool
 	// recheckAt is when a silent upstream is looked at again. triedBeside lists the
 	// upstreams that the request was sent to beside it.
 	recheckAt   time.Time
 	triedBeside []string
+	// callerDone is closed when the caller's connection ends, nil if that is not watched.
+	// end is what is known since, and callerTimer fires when it has to be looked at.
+	callerDone  <-chan struct{}
+	end         callerEnd
+	callerTimer *time.Timer
 	// kept is the obstacle that was last logged while an upstream was silent.
 	kept hedge.Obstacle
 }
@@ -120,16 +123,12 @@
 // error if none does.
 func (j *job) serve() {
 	h := j.h
-	if e := h.opts.CrashTracker.Evidence(j.StartedAt, j.Fingerprint); e.Blocked() || e.Held() {
-		j.logEvent(j.StartedAt).Str("fingerprint", j.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("request blocked")
-		refusal := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "crashes_upstreams", "upstreams have crashed while they ran this request")
-		if e.Held() {
-			refusal = refusal.WithRetryAfter(heldRetryAfter)
-		}
-		h.refuse(j.w, j.Head, refusal)
+	if refusal := j.checkSuspicion(j.StartedAt); refusal != nil {
+		j.refuse(refusal)
 		return
 	}
-	ctx := j.r.Context()
+	// What the end of the caller's connection means is decided in handleCallerEnd.
+	ctx := context.WithoutCancel(j.r.Context())
 	if err := j.resolveStream(ctx); err != nil {
 		j.respondError(h.opts.Now(), verdict.FromError(err), hedge.NoUpstream)
 		return
@@ -139,13 +138,15 @@
 	controller := http.NewResponseController(j.w)
 	_ = controller.SetWriteDeadline(j.Deadline.Add(callerWriteGrace)) // fails only without a connection
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
-	if j.Route.Kind == routing.NonIdempotent {
+	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
+	defer cancel()
+	if j.Route.Kind != routing.NonIdempotent {
 		// A request that must not be repeated is completed even if its caller
 		// disconnects.
-		ctx = context.WithoutCancel(ctx)
+		j.callerDone = j.r.Context().Done()
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
-	defer cancel()
+	j.callerTimer = time.NewTimer(time.Hour)
+	defer j.callerTimer.Stop()
 	j.lastEvent = j.Head.ResumeAfter
 	j.received = make(chan leg.Received, receiveBuffer)
 	j.silence = time.NewTimer(time.Hour)
@@ -156,7 +157,8 @@
 		}
 	}()
 	for {
-		done, err := j.step(ctx)
+		underWay := len(j.legs)
+		done, err := j.step(ctx, cancel)
 		if done {
 			j.recordSuccess()
 			return
@@ -165,10 +167,9 @@
 			continue
 		}
 		now := h.opts.Now()
-		if j.callerGone() {
-			h.incCounter("callers_gone")
-			j.logEvent(now).Msg("caller gone")
-			panic(http.ErrAbortHandler)
+		if j.callerEnded() {
+			j.abandon(now, err, underWay)
+			return
 		}
 		e := verdict.FromError(err)
 		obstacle := j.retryObstacle(now, e)
@@ -184,7 +185,7 @@
 
 // step starts an attempt if none is under way, or else waits for one thing to happen.
 // It returns the error of an attempt that has ended.
-func (j *job) step(ctx context.Context) (done bool, err error) {
+func (j *job) step(ctx context.Context, cancel context.CancelFunc) (done bool, err error) {
 	if len(j.legs) == 0 {
 		return false, j.startLeg(ctx)
 	}
@@ -200,6 +201,12 @@
 	case <-j.silence.C:
 		j.handleSilence(ctx)
 		return false, nil
+	case <-j.callerDone:
+		j.handleCallerEnd(cancel)
+		return false, nil
+	case <-j.callerTimer.C:
+		j.checkCaller(cancel)
+		return false, nil
 	case <-ctx.Done():
 		return false, j.endLegs(ctx)
 	case <-j.h.stopping:
@@ -210,7 +217,7 @@
 // recordSuccess updates the metrics and logs a request that was answered.
 func (j *job) recordSuccess() {
 	now := j.h.opts.Now()
-	j.h.opts.CrashTracker.RecordCompleted(now, j.Fingerprint)
+	j.clearSuspicion(now)
 	metrics.GetOrRegisterHistogram("answer_us."+j.Route.Kind.String(), j.h.opts.Metrics, metrics.NewExpDecaySample(latencySampleSize, latencySampleAlpha)).
 		Update(now.Sub(j.StartedAt).Microseconds())
 	j.h.incCounter("answers")
@@ -224,8 +231,6 @@
 		Int("runs", j.runs).Int("rejected", j.rejected).Int("unsent", j.notSent).Str("tried", strings.Join(j.attempted, ","))
 }
 
-func (j *job) callerGone() bool { return errors.Is(j.r.Context().Err(), context.Canceled) }
-
 // retryObstacle returns why the request is not retried on another upstream after an
 // error, hedge.None if it is.
 func (j *job) retryObstacle(now time.Time, e *verdict.Error) hedge.Obstacle {
@@ -269,7 +274,7 @@
 func (j *job) state(now time.Time) hedge.State {
 	return hedge.State{
 		Route: j.Route, Runs: j.runs, Open: len(j.legs), HeadSent: j.headSent, AfterEvent: j.lastEvent != "",
-		Blocked: j.h.opts.CrashTracker.IsBlocked(now, j.Fingerprint), TimeLeft: j.Deadline.Sub(now),
+		Blocked: j.isSuspected(now), TimeLeft: j.Deadline.Sub(now),
 	}
 }
 
@@ -280,7 +285,7 @@
 		j.h.incCounter("streams_cut")
 		j.h.incCounter("streams_cut_by." + string(o))
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("stream cut")
-		panic(http.ErrAbortHandler)
+		j.abort("stream_cut")
 	}
 	if j.failure != nil {
 		j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("failure of an upstream passed on")
@@ -295,7 +300,15 @@
 		e = e.WithRetryAfter(max(noUpstreamRetryAfter, j.h.selector.BackoffRetryAfter(now, j.Service.Name)))
 	}
 	j.logEvent(now).Str("code", e.Code).Str("obstacle", string(o)).AnErr("cause", e.Err).Msg("request failed")
-	j.h.refuse(j.w, j.Head, e)
+	j.refuse(e)
+}
+
+// refuse sends an error of the router to the caller.
+func (j *job) refuse(e *verdict.Error) {
+	j.responding = true
+	if err := j.h.refuse(j.w, j.Head, e); err != nil {
+		j.recordUnwritten(err)
+	}
 }
 
 // upstreamQuery describes the request for choosing the upstream of the next attempt.
@@ -325,6 +338,9 @@
 
 // startLeg sends the request to one upstream.
 func (j *job) startLeg(ctx context.Context) error {
+	if err := j.checkUnsent(); err != nil {
+		return err
+	}
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
 	choice, err := j.h.selector.Choose(ctx, now, j.selectionRequest(query))
@@ -353,6 +369,7 @@
 		}
 		if ctx.Err() == nil {
 			j.h.opts.Upstreams.ReportUnreachable(j.h.opts.Now(), u.ID)
+			j.h.recordRefused(j.h.opts.Now(), u, err)
 			j.h.opts.Log.Warn().Str("upstream", u.ID).Err(err).Msg("upstream unreachable")
 		}
 		cancel()
@@ -375,10 +392,7 @@
 	})
 	j.legs = append(j.legs, l)
 	j.watchSilence()
-	if e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint); e.Broken > 0 {
-		j.h.incCounter("suspects_sent")
-		j.logEvent(now).Str("incarnation", u.Incarnation()).Str("fingerprint", j.Fingerprint).Int("broken", e.Broken).Int("crashes", e.Crashes).Msg("suspect request sent")
-	}
+	j.logSuspicion(now, u)
 	j.logEvent(now).Str("upstream", u.ID).Float64("cost_ms", choice.CostMS).Int("missing_tokens", choice.MissingTokens).
 		Int("places", choice.FreeSlots).Int("candidates", choice.Candidates).Bool("fit", choice.Healthy).Bool("home", choice.Home).Float64("first_ms", choice.FirstTokenMS).Str("fetch_from", choice.Source.ID).Int64("version", u.Version).Str("build", u.Build).
 		Int("open", len(j.legs)).Func(j.h.selector.LogLimit(u)).Msg("request sent")
@@ -391,6 +405,9 @@
 func (j *job) checkSend(pickedAt time.Time, u roster.Upstream) error {
 	now := j.h.opts.Now()
 	reason := j.h.selector.Withhold(now, pickedAt, u)
+	if reason == "" && len(j.legs) == 0 && j.checkUnsent() != nil {
+		reason = codeCallerGone
+	}
 	if reason == "" {
 		return nil
 	}
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -81,6 +81,9 @@
 // have announced a limit are spared. What fails beside the first attempt costs the
 // request none of its tries.
 func (j *job) sendBeside(ctx context.Context, now time.Time) hedge.Obstacle {
+	if j.callerEnded() {
+		return hedge.Caller
+	}
 	if o := j.state(now).BesideObstacle(); o != hedge.None {
 		return o
 	}
@@ -114,7 +117,7 @@
 		now := j.h.opts.Now()
 		if other.SentAt.Before(l.SentAt) {
 			// It may have crashed in silence.
-			j.h.opts.CrashTracker.RecordUnanswered(now, other.LastSign(), j.Fingerprint, other.Upstream.Incarnation(), false)
+			j.recordSuspicion(now, other.LastSign(), other, false)
 		}
 		j.h.incCounter("attempts_dropped")
 		j.logEvent(now).Str("upstream", other.Upstream.ID).Str("goes_on_at", l.Upstream.ID).Msg("attempt dropped for another one")
