internal/eventstream: empty lines after the last event don't break a stream off

Callers of a stream whose upstream ended it with one more empty line saw it cut after its last event. Cause: at the end of the stream any bytes since the last event counted as the beginning of another one. Now empty lines are passed on as they are, and the stream ends; a stream of empty lines alone counts as one without events. A line that is cut at the length of the buffer is still a break (a case of its own).

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -47,6 +47,8 @@
 	r *bufio.Reader
 	// read is the number of bytes read of the stream.
 	read int
+	// begun is set once an event was returned.
+	begun bool
 }
 
 // New returns a Reader of the events in r.
@@ -54,9 +56,10 @@
 	return &Reader{r: bufio.NewReaderSize(r, bufferBytes)}
 }
 
-// Next returns the next event. It returns io.EOF if the stream ends after a complete
-// event, io.ErrUnexpectedEOF if it ends within one, and a *readlimit.Error if the event
-// or the stream is too long.
+// Next returns the next event. Empty lines after the last event are returned as one
+// without fields. It returns io.EOF if the stream ends after a complete event or has
+// none, io.ErrUnexpectedEOF if it ends within one, and a *readlimit.Error if the event or
+// the stream is too long.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	hasField := false
@@ -74,15 +77,19 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(event.Raw) > 0 {
+		if errors.Is(err, io.EOF) && (hasField || lineStart < len(event.Raw)) {
 			return Event{}, io.ErrUnexpectedEOF
 		}
+		if errors.Is(err, io.EOF) && r.begun && len(event.Raw) > 0 {
+			return event, nil
+		}
 		if err != nil {
 			return Event{}, err
 		}
 		line := bytes.TrimRight(event.Raw[lineStart:], "\r\n")
 		lineStart = len(event.Raw)
 		if len(line) == 0 && hasField {
+			r.begun = true
 			return event, nil
 		}
 		hasField = hasField || len(line) > 0
