internal/ingress: a stream without events is a whole answer if its end is stated

A caller that took up a stream after its last event got 502 although the upstream had answered 200 with an empty body; so did HEAD on a route of streams. Cause: the end of a stream counted as an answer only once an event had been passed on. An end that a length or chunks state is now passed on with its head. Without them the end before the first event may be that of a crash, and stays a broken attempt ("events, none", "resumable, none" of TestAnswersEndWithConnection).

Seen failing before: TestAnswersWithoutBody "HEAD of a stream", "no events", "taken up after the last event" (502 each).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,7 +116,10 @@
 	// Length is the length of the body in bytes, or -1 if the head does not state it. It
 	// is 0 for a response to HEAD.
 	Length int64
-	Body   io.Reader
+	// Delimited is set if a length or chunks tell the end of the body. Else it is that of
+	// the connection, which may also be that of the upstream.
+	Delimited bool
+	Body      io.Reader
 }
 
 // Do sends the request and returns once the head of the response has arrived.
@@ -157,7 +160,10 @@
 			if method == http.MethodHead {
 				length = 0
 			}
-			return Response{Status: resp.StatusCode, Header: resp.Header, Length: length, Body: resp.Body}, nil
+			return Response{
+				Status: resp.StatusCode, Header: resp.Header, Length: length,
+				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body,
+			}, nil
 		}
 	}
 	return Response{}, fmt.Errorf("exchange: read: %w", &readlimit.Error{Kind: "head", Limit: maxInterimResponses, Unit: "interim responses"})
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -38,6 +38,13 @@
 		}
 		j.dropOthers(l)
 		return true, nil
+	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && l.Response.Delimited:
+		// Without a length or chunks, the end before the first event may be a crash.
+		j.dropOthers(l)
+		j.runs++
+		j.endLeg(l)
+		j.write(bufferedAnswer{response: l.Response})
+		return true, nil
 	case r.Err != nil && ctx.Err() != nil:
 		return false, j.endLegs(ctx) // it failed since its time is over
 	case r.Err != nil:
