--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -38,6 +38,13 @@
 		}
 		j.dropOthers(l)
 		return true, nil
+	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && l.Response.Delimited:
+		// Without a length or chunks, the end before the first event may be a crash.
+		j.dropOthers(l)
+		j.runs++
+		j.endLeg(l)
+		j.write(bufferedAnswer{response: l.Response})
+		return true, nil
 	case r.Err != nil && ctx.Err() != nil:
 		return false, j.endLegs(ctx) // it failed since its time is over
 	case r.Err != nil:
@@ -180,7 +187,11 @@
 func (j *job) write(a bufferedAnswer) {
 	j.responding = true
 	j.h.opts.Codec.CopyResponseHeader(j.w.Header(), a.response.Header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if j.r.Method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if length := a.response.Header.Get("Content-Length"); length != "" {
+		j.w.Header().Set("Content-Length", length)
+	}
 	j.w.WriteHeader(a.response.Status)
 	_, err := j.w.Write(a.body)
 	if err == nil {
