--- a/internal/ingress/suspicion.go
+++ b/internal/ingress/suspicion.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -45,6 +46,15 @@
 	}
 }
 
+// breaksSeveral reports whether several upstreams have lately broken off their responses
+// to the request, or to requests with a part of its prompt, and none has completed one
+// since. Such responses tell nothing about the upstreams.
+func (j *job) breaksSeveral(now time.Time) bool {
+	tracker := j.h.opts.CrashTracker
+	several := func(fingerprint string) bool { return tracker.Evidence(now, fingerprint).CutLately > 1 }
+	return several(j.Fingerprint) || slices.ContainsFunc(j.Parts, several)
+}
+
 // clearSuspicion records that the request has got its whole answer.
 func (j *job) clearSuspicion(now time.Time) {
 	j.h.opts.CrashTracker.RecordCompleted(now, j.Fingerprint)
