--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -117,7 +117,7 @@
 		now := j.h.opts.Now()
 		if other.SentAt.Before(l.SentAt) {
 			// It may have crashed in silence.
-			j.h.opts.CrashTracker.RecordUnanswered(now, other.LastSign(), j.Fingerprint, other.Upstream.Incarnation(), false)
+			j.recordSuspicion(now, other.LastSign(), other, false)
 		}
 		j.h.incCounter("attempts_dropped")
 		j.logEvent(now).Str("upstream", other.Upstream.ID).Str("goes_on_at", l.Upstream.ID).Msg("attempt dropped for another one")
@@ -142,9 +142,14 @@
 	return err
 }
 
+// stoppingError is the error of a request that is not sent since the VM is about to end.
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the VM stops").WithRetryAfter(notReadyRetryAfter)
+}
+
 // endForStop ends all attempts since the VM is about to end.
 func (j *job) endForStop() error {
-	err := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the VM stops").WithRetryAfter(notReadyRetryAfter)
+	err := stoppingError()
 	for _, l := range slices.Clone(j.legs) {
 		j.runs++
 		j.endLeg(l)
