--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/eventstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/leg"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
@@ -37,6 +38,7 @@
 			return false, errors.New("the stream ended without an event, and another one goes on")
 		}
 		j.dropOthers(l)
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Sound)
 		return true, nil
 	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && l.Response.Delimited:
 		// Without a length or chunks, the end before the first event may be a crash.
@@ -147,6 +149,9 @@
 	}
 	j.recordSuspicion(now, aliveAt, l, reason == reasonCut)
 	e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint)
+	if reason == reasonCut && !j.breaksSeveral(now) && !impliesNotRun(l.Response.Status) {
+		j.h.selector.ObserveOutcome(now, l.Upstream, j.Fingerprint, health.Broken)
+	}
 	j.logEvent(now).Str("incarnation", l.Upstream.Incarnation()).Str("fingerprint", j.Fingerprint).Str("reason", reason).
 		Str("parts", j.Head.SharedIDs()).Bool("begun", l.Begun).Bool("forwarded", l.Forwarded).Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
 }
@@ -160,6 +165,7 @@
 	case !l.Head.Signed || l.Head.Encoded:
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the response with status %d is unsigned or has a content encoding", status))
 	case status >= http.StatusInternalServerError && !impliesNotRun(status) && (len(j.legs) > 1 || j.mayReplaceFailure()):
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Failed)
 		j.runs++
 		j.endLeg(l)
 		if len(body) <= maxKeptFailure {
@@ -169,6 +175,11 @@
 	case impliesNotRun(status):
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the upstream responded with status %d but did not state that the request has not run", status))
 	}
+	outcome := health.Sound
+	if status >= http.StatusInternalServerError {
+		outcome = health.Failed
+	}
+	j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, outcome)
 	j.dropOthers(l)
 	j.runs++
 	j.failed = status >= http.StatusBadRequest
