internal/request: callers that count as gone get an error, not an empty success

What callers saw: a caller of the own API that ends its sending side after its request got "200 OK" without a body; a stream that was given up for the same reason ended like a whole one, only without its last event.

Cause: net/http cancels a request's context at the end of file from the caller, which is also what a caller sends that goes on reading. The attempt then ended with ErrCallerGone, and the handler returned without writing anything, so that net/http wrote an empty answer of its own, or the last chunk of the stream.

Change: such a caller gets 502 "caller_gone" with the verdict that the request may have run; a response that has started is aborted. That these callers are cut at all is left as it is on the own API.

Result: TestHalfClosedCallerGetsNoFalseAnswer fails before (status 200 with 0 bytes; a stream of 181 bytes without an error) and passes; the other tests of internal/node pass.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -237,16 +238,15 @@
 	f.eventually("the engine's stream is cancelled", func() bool { return f.Engines[0].Cancelled() == 1 })
 }
 
-// openWithoutReading sends a request for a streamed completion and returns the
+// openWithoutReading sends a request for a completion and returns the
 // connection without reading the response.
-func openWithoutReading(t *testing.T, n *testNode, tokens int) (net.Conn, *bufio.Reader) {
+func openWithoutReading(t *testing.T, n *testNode, body string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", n.settings.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	body := completionBody(tokens, true)
 	_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", standin.DeploymentKey, len(body), body)
 	if err != nil {
 		t.Fatal(err)
@@ -274,7 +274,7 @@
 	t.Parallel()
 	const tokens = 100_000
 	f := newFleet(t, fleetOptions{nodes: 1, dep: standin.DeploymentOptions{Engines: 1, FirstByteTimeout: testTimeout, EventTimeout: testTimeout, Deadline: 4 * testTimeout}})
-	_, reader := openWithoutReading(t, f.nodes[0], tokens)
+	_, reader := openWithoutReading(t, f.nodes[0], completionBody(tokens, true))
 	f.eventually("the node stops reading events", func() bool {
 		before := f.counter(f.nodes[0], "streams.events")
 		time.Sleep(300 * time.Millisecond)
@@ -306,6 +306,52 @@
 		dep:    standin.DeploymentOptions{Engines: 1, FirstByteTimeout: testTimeout, EventTimeout: testTimeout, Deadline: 4 * testTimeout},
 		adjust: func(_ int, s *settings.Settings) { s.CallerTimeoutMS = 300 },
 	})
-	openWithoutReading(t, f.nodes[0], 400_000)
+	openWithoutReading(t, f.nodes[0], completionBody(400_000, true))
 	f.eventually("the engine's stream is cancelled", func() bool { return f.Engines[0].Cancelled() == 1 })
 }
+
+// Guards against answers that only look complete: a caller that had ended its sending side
+// got an empty response with status 200, or the end of a stream that had been given up.
+func TestHalfClosedCallerGetsNoFalseAnswer(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		stream bool
+		// want is the status, 0 for a response that is cut.
+		want int
+	}{
+		"joined":   {false, http.StatusBadGateway},
+		"streamed": {true, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, fleetOptions{
+				nodes: 1,
+				dep:   standin.DeploymentOptions{Engines: 1, Engine: modelengine.Options{TokenInterval: 20 * time.Millisecond}},
+			})
+			c, reader := openWithoutReading(t, f.nodes[0], completionBody(1000, tt.stream))
+			if tt.stream {
+				if _, err := reader.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f.eventually("the engine runs the request", func() bool { return f.Engines[0].Runs() == 1 })
+			if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			got := resp.StatusCode
+			if err != nil {
+				got = 0
+			}
+			if got != tt.want {
+				t.Errorf("status %d, %d bytes, error %v, want status %d", resp.StatusCode, len(body), err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -246,9 +246,17 @@
 }
 
 // respondError sends an error to the caller, if there is one. A response that has
-// started is aborted, so that the caller can't mistake it for a complete one.
+// started is aborted, so that the caller can't mistake it for a complete one. A caller
+// that counts as gone may have ended its sending side only.
 func (j *job) respondError(err error) {
-	if err == nil || errors.Is(err, answer.ErrCallerGone) {
+	if err == nil {
+		return
+	}
+	if errors.Is(err, answer.ErrCallerGone) {
+		if j.response != nil && j.response.Started() {
+			panic(http.ErrAbortHandler)
+		}
+		openai.WriteError(j.w, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "caller_gone", "the caller has disconnected"))
 		return
 	}
 	if j.response != nil && j.response.Started() {
