internal/pageserver: peers that get no page don't make the VM read the state

What was seen: by reading. Of many peers that ask for a state at once, all found the pacer free before the first page was reserved, and so each of them had the whole state copied under the follower's lock, although all but the first few were then refused.

Change: the check, the copy, the encoding and the reservation are one step under the lock of the collection's pages.

--- a/internal/pageserver/pageserver.go
+++ b/internal/pageserver/pageserver.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -82,20 +83,16 @@
 // Serve answers a request with the page that current returns, as JSON. If earlier
 // pages occupy the link for too long, it answers 503 and does not call current.
 func (p *Pages) Serve(w http.ResponseWriter, r *http.Request, current func() (Key, any)) {
-	if !p.server.pacer.Free(p.server.opts.Now(), maxWait) {
-		p.refuse(w)
+	body, delay, err := p.reserve(current)
+	switch {
+	case errors.Is(err, errBusy):
+		p.count("refused", 1)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
-	}
-	body, err := p.encode(current())
-	if err != nil {
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	delay, ok := p.server.pacer.Reserve(p.server.opts.Now(), len(body), maxWait)
-	if !ok {
-		p.refuse(w)
-		return
-	}
 	if !wait.For(r.Context(), delay) {
 		return
 	}
@@ -112,16 +109,31 @@
 	}
 }
 
-func (p *Pages) refuse(w http.ResponseWriter) {
-	p.count("refused", 1)
-	http.Error(w, "busy with other downloads", http.StatusServiceUnavailable)
-}
+var errBusy = errors.New("pageserver: busy with other downloads")
 
-// encode returns a page as compressed JSON. Requests for a page that is being encoded
-// wait for it.
-func (p *Pages) encode(key Key, page any) ([]byte, error) {
+// reserve returns the page that current returns as compressed JSON, and the delay after
+// which it may be sent. The error is errBusy if that is too long. Requests wait for the one
+// whose page is being encoded, so that of many at once only those read the state that
+// may get it.
+func (p *Pages) reserve(current func() (Key, any)) (body []byte, delay time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	pacer, now := p.server.pacer, p.server.opts.Now
+	if !pacer.Free(now(), maxWait) {
+		return nil, 0, errBusy
+	}
+	if body, err = p.encode(current()); err != nil {
+		return nil, 0, err
+	}
+	delay, ok := pacer.Reserve(now(), len(body), maxWait)
+	if !ok {
+		return nil, 0, errBusy // pages of another collection have taken its place
+	}
+	return body, delay, nil
+}
+
+// encode returns a page as compressed JSON. The caller holds the lock.
+func (p *Pages) encode(key Key, page any) ([]byte, error) {
 	if i := slices.IndexFunc(p.kept, func(e encodedPage) bool { return e.key == key }); i >= 0 {
 		return p.kept[i].body, nil
 	}
--- a/internal/pageserver/pageserver_test.go
+++ b/internal/pageserver/pageserver_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +104,30 @@
 		t.Errorf("state read %d times, statuses (-want +got):\n%s", read, diff)
 	}
 }
+
+// Guards against a herd of peers that each make the VM copy the whole state, of which
+// only the first few get one.
+func TestStateIsReadOnlyForThoseThatGetIt(t *testing.T) {
+	const peers = 40
+	server := pageserver.New(pageserver.Options{Now: time.Now, BytesPerS: 10, Metrics: metrics.NewRegistry()})
+	pages := server.Pages("things")
+	var read, sent atomic.Int64
+	var wg sync.WaitGroup
+	for range peers {
+		wg.Go(func() {
+			w := httptest.NewRecorder()
+			pages.Serve(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil), func() (pageserver.Key, any) {
+				read.Add(1)
+				time.Sleep(20 * time.Millisecond)
+				return pageserver.Key{}, "a state that takes more than a second at this rate"
+			})
+			if w.Code == http.StatusOK {
+				sent.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if read.Load() != 1 || sent.Load() != 1 {
+		t.Errorf("state read %d times, sent %d times, want 1 and 1", read.Load(), sent.Load())
+	}
+}
