internal/entryvm: "OPTIONS *" is refused, as any request without a path

What callers saw: "OPTIONS * HTTP/1.1" on the callers' address got 200 without the signature of an upstream.

Cause: net/http responds to this request itself, before the handler. The check of its framing did not take place either, so that the next head on the connection counted as checked.

Change: net/http's handler for it is switched off; the request gets 400 "bad_target", or 503 before there is a configuration.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -318,6 +318,8 @@
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
 	// Bypass kratos's router, which would clean the paths that callers send.
 	server.Handler = handler
+	// Otherwise net/http responds to "OPTIONS *" itself.
+	server.DisableGeneralOptionsHandler = true
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = log.New(serverErrors{v, address}, "", 0)
