internal/entryvm: a busy peer is not asked again for each of its beacons

What was seen: by reading. A VM that lacks the configuration in force after the store came back from a copy asks a peer for it at each beacon, and a peer that is busy refuses at once, so that the next beacon starts the next request: tens a second from each VM that starts, at peers whose links and processors are busy already. The other collections wait 150 ms before each request.

Change: after a failed download the next one starts 150 ms later at the earliest. A busy peer is counted like for the other collections (peer_fetches.busy), not logged as a warning. The first download starts without delay as before.

Result: TestBusyPeersAreNotAskedForEachBeacon: a peer that sends a beacon each 10 ms and is busy was asked 73 times in a second before, and at most 10 times now.

--- a/internal/entryvm/retained.go
+++ b/internal/entryvm/retained.go
@@ -1,6 +1,11 @@
 package entryvm
 
 import (
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -12,6 +17,10 @@
 // only the copy's.
 const retainedCollection = "retained-configuration"
 
+// retainedRetryDelay is how long after a failed download of the retained configuration the
+// next one may start.
+const retainedRetryDelay = 150 * time.Millisecond
+
 // retained returns the configuration in force if it is of an earlier era than what the
 // store has, and nil otherwise.
 func (v *VM) retained() *routing.Config {
@@ -41,6 +50,14 @@
 	v.startFetch(retainedCollection, func() {
 		var page registry.Page[routing.Document]
 		err := v.fetchPage(m.Control, retainedCollection, registry.Position{}, &page)
+		if err != nil || len(page.Items) == 0 {
+			// The next beacon starts another download.
+			defer time.Sleep(retainedRetryDelay)
+		}
+		if errors.Is(err, errPeerBusy) {
+			metrics.GetOrRegisterCounter("peer_fetches.busy", v.metrics).Inc(1)
+			return
+		}
 		if err != nil || len(page.Items) == 0 {
 			v.log.Warn().Str("peer", m.Name).AnErr("error", err).Msg("retained configuration not fetched")
 			return
