--- a/internal/entryvm/collections_test.go
+++ b/internal/entryvm/collections_test.go
@@ -36,8 +36,9 @@
 	return `{"metadata":{"name":"main","revision":9},"spec":{"version":7,"services":[{"name":"lm"}],"routes":[` + strings.Join(list, ",") + `]}}`
 }
 
-// serveStore serves a store that holds a configuration and nothing else, until the test ends.
-func serveStore(t *testing.T, address, configuration string) {
+// serveStore serves a store that holds a configuration and a list of upstreams, until the
+// test ends.
+func serveStore(t *testing.T, address, configuration, upstreams string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -49,6 +50,8 @@
 			<-r.Context().Done()
 		case strings.HasSuffix(r.URL.Path, "/config"):
 			_, _ = fmt.Fprintf(w, `{"store_revision":9,"items":[%s]}`, configuration)
+		case strings.HasSuffix(r.URL.Path, "/servers"):
+			_, _ = fmt.Fprintf(w, `{"store_revision":9,"items":[%s]}`, upstreams)
 		default:
 			_, _ = io.WriteString(w, `{"store_revision":9,"items":[]}`)
 		}
@@ -103,7 +106,7 @@
 	for _, routes := range []int{44, 444, 2600} {
 		t.Run(fmt.Sprintf("%d routes", routes), func(t *testing.T) {
 			ports := freePorts(t, "127.0.77.9")
-			serveStore(t, fmt.Sprintf("127.0.77.9:%d", ports[5]), configurationOf(routes))
+			serveStore(t, fmt.Sprintf("127.0.77.9:%d", ports[5]), configurationOf(routes), "")
 			vm, _ := startVM(t, ports, 9)
 			control := fmt.Sprintf("127.0.77.9:%d", ports[4])
 			waitFor(t, "the configuration", func() bool { return vm.ConfigurationVersion() == 7 })
