internal/request: a panic of a handler is answered

What callers saw: a panic under a request of the own API closed the caller's connection without an answer; no line of ours and no counter told it, since net/http swallows it.

Change: as on the users' platform, the handler recovers. The panic is logged with its stack and counted (panics.handler); the caller gets 500 with the verdict "not run" before the first attempt and "may have run" after it. If a part of an answer may have been sent, the connection ends as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,6 +231,7 @@
 		Quarantine:       n.quarantine,
 		Fleet:            fleet{n, n.crashes},
 		Metrics:          n.metrics,
+		Log:              n.log,
 		BodyLimits:       openai.Limits{MaxBodyBytes: int64(n.settings.MaxBodyBytes), MaxDepth: n.settings.MaxJSONDepth},
 		MaxResponseBytes: int64(n.settings.MaxAnswerBytes),
 		CallerTimeout:    n.settings.CallerTimeout(),
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -16,15 +16,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"path"
+	"runtime/debug"
 	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
@@ -77,7 +80,7 @@
 	AnnounceCleared(now time.Time, fingerprint string)
 }
 
-// Options configures a Handler. All fields before BodyLimits are required.
+// Options configures a Handler. All fields before Log are required.
 type Options struct {
 	// Now returns the current time.
 	Now           func() time.Time
@@ -93,6 +96,8 @@
 	Fleet       Fleet
 	Metrics     metrics.Registry
 
+	// Log defaults to no logging.
+	Log        zerolog.Logger
 	BodyLimits openai.Limits
 	// MaxResponseBytes limits a response that is buffered whole. The default is 16 MiB.
 	MaxResponseBytes int64
@@ -224,14 +229,41 @@
 // handle reads a request as a job and serves it, or sends an error.
 func (h *Handler) handle(w http.ResponseWriter, r *http.Request, newJob func(time.Time, http.ResponseWriter, *http.Request) (*job, error)) {
 	h.metrics.requests.Inc(1)
-	j, err := newJob(h.opts.Now(), w, r)
-	if err != nil {
+	var j *job
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.handlePanic(w, r, j, cause)
+		}
+	}()
+	var err error
+	if j, err = newJob(h.opts.Now(), w, r); err != nil {
 		h.refuse(w, err)
 		return
 	}
 	j.serve()
 }
 
+// handlePanic logs and counts a panic of a request's handler. The caller gets an error if
+// no part of an answer has been sent, otherwise its connection ends. j is nil before the
+// request has been read.
+func (h *Handler) handlePanic(w http.ResponseWriter, r *http.Request, j *job, cause any) {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	metrics.GetOrRegisterCounter("panics.handler", h.opts.Metrics).Inc(1)
+	h.opts.Log.Error().Str("target", r.RequestURI).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("handler panicked")
+	e := verdict.New(verdict.NotRun, http.StatusInternalServerError, "internal_error", "the router failed")
+	if j != nil {
+		if j.outcome.Status != 0 || j.response != nil && j.response.Started() {
+			panic(http.ErrAbortHandler)
+		}
+		if j.attempt > 0 {
+			e = e.WithVerdict(verdict.MayHaveRun)
+		}
+	}
+	h.refuse(w, e)
+}
+
 // newModelJob reads and checks a request to a model.
 func (h *Handler) newModelJob(now time.Time, w http.ResponseWriter, r *http.Request) (*job, error) {
 	organisation, catalogue, err := h.authenticate(r)
