internal/ingress: a request that waits when the VM ends is refused as not run

Callers saw: 504, may have run, for a request that waited for a permit, or for the connection to its upstream, when the requests under way were ended.

Change: the check is made once more between the connection and the first byte, where other reasons not to send are checked too.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -127,6 +127,16 @@
 // an answer has been sent. It must be called once, shortly before the process ends.
 func (h *Handler) Stop() { close(h.stopping) }
 
+// isStopping reports whether Stop has been called.
+func (h *Handler) isStopping() bool {
+	select {
+	case <-h.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.opts.Now()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -341,10 +341,8 @@
 	if err := j.checkUnsent(); err != nil {
 		return err
 	}
-	select {
-	case <-j.h.stopping:
+	if j.h.isStopping() {
 		return stoppingError()
-	default:
 	}
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
@@ -409,7 +407,10 @@
 // picked at pickedAt, because of what became known since.
 func (j *job) checkSend(pickedAt time.Time, u roster.Upstream) error {
 	now := j.h.opts.Now()
-	reason := j.h.selector.Withhold(now, pickedAt, u)
+	reason := codeStopping
+	if !j.h.isStopping() {
+		reason = j.h.selector.Withhold(now, pickedAt, u)
+	}
 	if reason == "" && len(j.legs) == 0 && j.checkUnsent() != nil {
 		reason = codeCallerGone
 	}
