--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -138,6 +138,8 @@
 	UpstreamsLeaving []health.DrainReport `json:"upstreams_leaving,omitempty" cbor:"28,keyasint,omitempty"`
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s, 0 from a VM of an older build.
 	LinkMbps int `json:"link_mbps,omitempty" cbor:"29,keyasint,omitempty"`
+	// Ejections holds the upstreams whose responses to this VM have broken lately.
+	Ejections []health.EjectionReport `json:"ejections,omitempty" cbor:"30,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
