internal/costmodel: cost model and choice of an upstream, out of roster

This moves the cost model out of it: Policy and Rule, the penalties, the sources of cached parts, rendezvous hashing of prompts and the slowdown of first tokens. The new package knows neither the table nor its lock: Table.Pick lists the upstreams as costmodel.Candidate values and turns the costmodel.Choice into a roster.Choice. Generation moves to promptcache, whose parts it describes.

Peer states are expired before the candidates are listed instead of after, since a candidate holds the load; a query without an upstream that may be picked therefore expires them too. The rest of the sequence is as before.

Tests: those of roster go through Table.Pick; they are unchanged and pass. TestChoose and TestSlowdownOfFirstToken are new; nine changes of the new package, among them candidates chosen that may not be, sources of another generation and penalties left out, were each seen to fail a case. go test -race on roster, costmodel, promptcache, rollout, experiment, covesim, entryvm and platform passes; selection has no test files.

--- a/cmd/covesim/main.go
+++ b/cmd/covesim/main.go
@@ -25,8 +25,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/experiment"
-	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
 const (
@@ -43,7 +43,7 @@
 type selection struct {
 	deployments, patterns, policies []string
 	// weights replaces the weights of all policies. It may be nil.
-	weights   *roster.Policy
+	weights   *costmodel.Policy
 	seeds     int
 	firstSeed uint64
 	duration  time.Duration
@@ -186,7 +186,7 @@
 
 // parseWeights parses comma-separated name=number pairs. It returns nil for an
 // empty text, so that each policy keeps its own weights.
-func parseWeights(text string) (*roster.Policy, error) {
+func parseWeights(text string) (*costmodel.Policy, error) {
 	if text == "" {
 		return nil, nil
 	}
@@ -204,7 +204,7 @@
 	}
 	decoder := json.NewDecoder(strings.NewReader(string(raw)))
 	decoder.DisallowUnknownFields()
-	var p roster.Policy
+	var p costmodel.Policy
 	if err := decoder.Decode(&p); err != nil {
 		return nil, fmt.Errorf("covesim: weights %q: %w", text, err)
 	}
--- a/internal/roster/slowdown.go
+++ b/internal/costmodel/slowdown.go
@@ -1,4 +1,4 @@
-package roster
+package costmodel
 
 import "time"
 
@@ -12,17 +12,17 @@
 	minSlowdownWaitMS = 20
 )
 
-// slowdown is the ratio of the measured to the estimated wait for first tokens,
-// as a moving mean.
-type slowdown struct{ mean float64 }
+// Slowdown is the ratio of the measured to the estimated wait for first tokens,
+// as a moving mean. It is immutable. The zero value has seen no first token.
+type Slowdown struct{ mean float64 }
 
-// factor returns the correction of an estimated wait, 1 or more.
-func (s slowdown) factor() float64 { return max(1, s.mean) }
+// Factor returns the correction of an estimated wait, 1 or more.
+func (s Slowdown) Factor() float64 { return max(1, s.mean) }
 
-// observe returns the slowdown updated by one first token that came elapsed
+// With returns the slowdown updated by one first token that came elapsed
 // after its request was sent. idleMS is the time to the first token on an idle
 // engine, waitMS the estimated wait.
-func (s slowdown) observe(elapsed time.Duration, idleMS, waitMS float64) slowdown {
+func (s Slowdown) With(elapsed time.Duration, idleMS, waitMS float64) Slowdown {
 	if waitMS < minSlowdownWaitMS {
 		return s
 	}
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -4,7 +4,7 @@
 // load. The default figures are from the users' documentation.
 //
 // Tests and routing experiments use it. The roster doesn't call it: it has a
-// simpler estimate of the time to the first token, see roster.Policy.
+// simpler estimate of the time to the first token, see costmodel.Policy.
 //
 // # Usage
 //
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/strictjson"
 )
 
@@ -61,10 +61,10 @@
 	RetrySlack    float64 `json:"retry_slack"`
 	RetryWindowMS int     `json:"retry_window_ms"`
 	LogLinesPerS  int     `json:"log_lines_per_s"`
-	// PickRule is a roster.Rule. Rules other than the default exist for
+	// PickRule is a costmodel.Rule. Rules other than the default exist for
 	// comparison only.
 	PickRule string `json:"pick_rule"`
-	// PrefillTokensPerMS, DistanceMS and SharedWeight are described in roster.Policy.
+	// PrefillTokensPerMS, DistanceMS and SharedWeight are described in costmodel.Policy.
 	PrefillTokensPerMS float64 `json:"read_tokens_per_ms"`
 	DistanceMS         float64 `json:"distance_ms"`
 	SharedWeight       float64 `json:"shared_weight"`
@@ -126,8 +126,8 @@
 	if _, err := netip.ParseAddr(s.IP); err != nil {
 		addProblem("ip", "want an IP number, got %q", s.IP)
 	}
-	if !roster.Rule(s.PickRule).Known() {
-		addProblem("pick_rule", "%q is none of the empty one, %q and %q", s.PickRule, roster.ByLoad, roster.ByHash)
+	if !costmodel.Rule(s.PickRule).Known() {
+		addProblem("pick_rule", "%q is none of the empty one, %q and %q", s.PickRule, costmodel.ByLoad, costmodel.ByHash)
 	}
 	if s.LinkMbps < 1 || s.LinkMbps > 1e6 {
 		addProblem("link_mbps", "%g is not between 1 and 1000000", s.LinkMbps)
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -40,6 +40,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/cacheevents"
 	"github.com/hibiscuscove/hibiscuscove/internal/connend"
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
@@ -173,8 +174,8 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	limits := roster.VersionLimits{MaxSpan: milliseconds(s.VersionMS) - versionMargin, MaxTotal: milliseconds(s.VersionTotalMS) - versionMargin}
-	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: roster.Policy{
-		Rule: roster.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: costmodel.Policy{
+		Rule: costmodel.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
 	if err := v.buildBeacon(); err != nil {
 		return nil, err
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/enginemodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/virtualtime"
@@ -57,7 +58,7 @@
 type Options struct {
 	Deployment, Pattern, Policy string
 	// Weights replaces the policy if it is set.
-	Weights *roster.Policy
+	Weights *costmodel.Policy
 	Seed    uint64
 	// Duration is how long requests arrive, in virtual time. The default is 30 s.
 	Duration time.Duration
@@ -69,7 +70,7 @@
 	rng        *rand.Rand
 	deployment Deployment
 	opts       Options
-	policy     roster.Policy
+	policy     costmodel.Policy
 	engines    []*engine
 	vms        []*vm
 	store      *enginemodel.Store
@@ -154,9 +155,9 @@
 }
 
 // Policies returns the policies by name.
-func Policies() map[string]roster.Policy {
-	return map[string]roster.Policy{
-		"ours": {}, "least-loaded": {Rule: roster.ByLoad}, "hash": {Rule: roster.ByHash},
+func Policies() map[string]costmodel.Policy {
+	return map[string]costmodel.Policy{
+		"ours": {}, "least-loaded": {Rule: costmodel.ByLoad}, "hash": {Rule: costmodel.ByHash},
 	}
 }
 
@@ -169,7 +170,7 @@
 	return longest
 }
 
-func newFleet(d Deployment, opts Options, policy roster.Policy) *fleet {
+func newFleet(d Deployment, opts Options, policy costmodel.Policy) *fleet {
 	f := &fleet{
 		loop: virtualtime.New(epoch), rng: rand.New(rand.NewPCG(opts.Seed, 1)), deployment: d, opts: opts, policy: policy,
 		store: enginemodel.NewStore(d.StoreTokens, storeBlockTokens, d.StoreLinkTokensPerMS), loading: &enginemodel.LoadingCounter{},
--- a/internal/promptcache/estimate.go
+++ b/internal/promptcache/estimate.go
@@ -22,6 +22,13 @@
 	Tokens int    `cbor:"2,keyasint"`
 }
 
+// Generation is what cached prompt parts depend on: parts of different weights, or
+// written by different builds of an engine, do not fit together.
+type Generation struct {
+	Version int64
+	Build   string
+}
+
 // readyDelay is how long after it was first sent a part is assumed to be
 // prefilled.
 const readyDelay = 150 * time.Millisecond
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -56,7 +56,7 @@
 		f.addLoad(Load{WaitingTokens: -f.load.WaitingTokens})
 		f.table.mu.Lock()
 		defer f.table.mu.Unlock()
-		f.table.slowdown = f.table.slowdown.observe(now.Sub(f.startedAt), f.table.opts.Policy.IdleFirstTokenMS, waitMS)
+		f.table.slowdown = f.table.slowdown.With(now.Sub(f.startedAt), f.table.opts.Policy.IdleFirstTokenMS, waitMS)
 	})
 }
 
@@ -177,7 +177,7 @@
 	}
 	m.cached.ExpectEvictionReports()
 	for _, p := range parts {
-		if (Generation{p.Version, p.Build}) == m.upstream.Generation() {
+		if (promptcache.Generation{Version: p.Version, Build: p.Build}) == m.upstream.Generation() {
 			m.cached.Set(now, Part{ID: p.ID, Tokens: p.Tokens})
 		}
 	}
--- a/internal/roster/promptstore.go
+++ b/internal/roster/promptstore.go
@@ -59,18 +59,18 @@
 		return
 	}
 	for _, p := range parts {
-		t.promptStore.cached.Set(now, Part{ID: storedID(Generation{p.Version, p.Build}, p.ID), Tokens: p.Tokens})
+		t.promptStore.cached.Set(now, Part{ID: storedID(promptcache.Generation{Version: p.Version, Build: p.Build}, p.ID), Tokens: p.Tokens})
 	}
 }
 
 // storedID returns the ID of a part in the prompt store, which holds parts of
 // all generations.
-func storedID(g Generation, id string) string {
+func storedID(g promptcache.Generation, id string) string {
 	return strconv.FormatInt(g.Version, 10) + ":" + g.Build + ":" + id
 }
 
 // storedParts returns the parts of a generation under their IDs in the prompt store.
-func storedParts(g Generation, parts []Part) []Part {
+func storedParts(g promptcache.Generation, parts []Part) []Part {
 	list := make([]Part, len(parts))
 	for i, p := range parts {
 		list[i] = Part{ID: storedID(g, p.ID), Tokens: p.Tokens}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,8 +22,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerload"
 	"github.com/hibiscuscove/hibiscuscove/internal/promptcache"
 	"github.com/hibiscuscove/hibiscuscove/internal/weights"
@@ -51,15 +50,10 @@
 // Incarnation returns the name of this start of the upstream.
 func (u Upstream) Incarnation() string { return u.ID + "@" + strconv.FormatInt(u.Born, 10) }
 
-// Generation is what cached prompt parts depend on: parts of different weights, or
-// written by different builds of an engine, do not fit together.
-type Generation struct {
-	Version int64
-	Build   string
-}
-
 // Generation returns the generation of the parts that the upstream caches.
-func (u Upstream) Generation() Generation { return Generation{u.Version, u.Build} }
+func (u Upstream) Generation() promptcache.Generation {
+	return promptcache.Generation{Version: u.Version, Build: u.Build}
+}
 
 // Load is the work that requests put on an upstream.
 type Load = peerload.Load
@@ -117,7 +111,7 @@
 }
 
 func newMember(now time.Time, u Upstream) *member {
-	m := &member{upstream: u, firstSeen: now, idHash: xxhash.Sum64String(u.ID), cached: promptcache.New()}
+	m := &member{upstream: u, firstSeen: now, idHash: costmodel.Hash(u.ID), cached: promptcache.New()}
 	if u.Leaving {
 		m.leavingSince = now
 	}
@@ -129,7 +123,7 @@
 	// DataCentre is the data centre of this VM.
 	DataCentre string
 	// Policy holds the weights of the costs.
-	Policy Policy
+	Policy costmodel.Policy
 	// VersionLimits limit how long an engine with older weights gets requests
 	// after a newer version became the desired one.
 	VersionLimits VersionLimits
@@ -145,6 +139,8 @@
 	members map[string]*member
 	// picks counts the calls of Pick.
 	picks uint64
+	// candidates is the list of the last pick, whose memory the next one uses.
+	candidates []costmodel.Candidate
 	// ended holds when incarnations were last seen to have ended. heldBack holds
 	// entries of such incarnations in a copy of the store, by ID.
 	ended    map[string]time.Time
@@ -160,7 +156,7 @@
 	peers *peerload.Peers
 	// slowdown is the ratio of the measured to the estimated waits for first
 	// tokens.
-	slowdown slowdown
+	slowdown costmodel.Slowdown
 	// partialView reports that the fleet is too large for each VM to receive
 	// the states of all others in time.
 	partialView bool
@@ -171,7 +167,7 @@
 
 // New returns an empty Table.
 func New(opts Options) *Table {
-	opts.Policy = opts.Policy.withDefaults()
+	opts.Policy = opts.Policy.WithDefaults()
 	return &Table{
 		opts:        opts,
 		members:     make(map[string]*member),
