--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -168,10 +168,10 @@
 
 // storedTokens returns what costmodel.Model.StoredTokens is to be.
 func (t *Table) storedTokens(now time.Time) func(promptcache.Generation, []Part) int {
-	if t.promptStore == nil || !t.promptStore.up {
+	if t.promptStore == nil || !t.promptStore.parts.Up() {
 		return nil
 	}
 	return func(g promptcache.Generation, parts []Part) int {
-		return t.promptStore.cached.ReadyTokens(now, storedParts(g, parts))
+		return t.promptStore.parts.ReadyTokens(now, g, parts)
 	}
 }
--- a/internal/roster/promptstore.go
+++ b/internal/roster/promptstore.go
@@ -1,19 +1,16 @@
 package roster
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/promptcache"
+	"github.com/hibiscuscove/hibiscuscove/internal/promptstore"
 )
 
-// promptStore is the state of the prompt store, a shared store of cached prompt
-// parts. Its parts outlive the engines that computed them and their generations.
+// promptStore is the prompt store with the parts that it holds.
 type promptStore struct {
 	upstream Upstream
-	cached   *promptcache.Estimate
-	// up reports whether the store has responded lately.
-	up bool
+	parts    *promptstore.Parts
 }
 
 // SetStore sets the prompt store. An empty address means that there is none.
@@ -25,7 +22,7 @@
 		return
 	}
 	if t.promptStore == nil || t.promptStore.upstream != u {
-		t.promptStore = &promptStore{upstream: u, cached: promptcache.New()}
+		t.promptStore = &promptStore{upstream: u, parts: promptstore.New()}
 	}
 }
 
@@ -44,11 +41,9 @@
 func (t *Table) SetStoreUp(up bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.promptStore == nil || t.promptStore.up == up {
-		return
+	if t.promptStore != nil {
+		t.promptStore.parts.SetUp(up)
 	}
-	t.promptStore.up = up
-	t.promptStore.cached = promptcache.New()
 }
 
 // SetStoreParts records what the prompt store reports about its parts.
@@ -59,21 +54,6 @@
 		return
 	}
 	for _, p := range parts {
-		t.promptStore.cached.Set(now, Part{ID: storedID(promptcache.Generation{Version: p.Version, Build: p.Build}, p.ID), Tokens: p.Tokens})
-	}
-}
-
-// storedID returns the ID of a part in the prompt store, which holds parts of
-// all generations.
-func storedID(g promptcache.Generation, id string) string {
-	return strconv.FormatInt(g.Version, 10) + ":" + g.Build + ":" + id
-}
-
-// storedParts returns the parts of a generation under their IDs in the prompt store.
-func storedParts(g promptcache.Generation, parts []Part) []Part {
-	list := make([]Part, len(parts))
-	for i, p := range parts {
-		list[i] = Part{ID: storedID(g, p.ID), Tokens: p.Tokens}
+		t.promptStore.parts.Set(now, promptcache.Generation{Version: p.Version, Build: p.Build}, Part{ID: p.ID, Tokens: p.Tokens})
 	}
-	return list
 }
