--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -163,7 +163,7 @@
 // or by several peers. The reports of peers do not count if the
 // upstream has responded to this VM within peerload.TTL.
 func (t *Table) isAvoided(now time.Time, m *member) bool {
-	return m.avoidUntil.After(now) || t.peers.Unreachable(m.upstream.ID) && !within(now, m.lastResponse, peerload.TTL)
+	return m.reach.Avoided(now) || t.peers.Unreachable(m.upstream.ID) && !m.reach.RespondedWithin(now, peerload.TTL)
 }
 
 // storedTokens returns what costmodel.Model.StoredTokens is to be.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -25,6 +25,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerload"
 	"github.com/hibiscuscove/hibiscuscove/internal/promptcache"
+	"github.com/hibiscuscove/hibiscuscove/internal/reachability"
 	"github.com/hibiscuscove/hibiscuscove/internal/weights"
 )
 
@@ -59,13 +60,6 @@
 type Load = peerload.Load
 
 const (
-	// minAvoidPeriod and maxAvoidPeriod limit how long an upstream is avoided
-	// after failed connections.
-	minAvoidPeriod = 700 * time.Millisecond
-	maxAvoidPeriod = 5 * time.Second
-	// maxFailures is the number of failed connections at which the doubled
-	// period has passed maxAvoidPeriod.
-	maxFailures = 4
 	// expiredEntryHold is how long an upstream whose entry in the platform's
 	// store expired during an outage of the store stays a last resort. Entries
 	// of live upstreams are back within 2 s, and reach this VM a little later.
@@ -83,12 +77,7 @@
 	idHash  uint64
 	ownLoad Load
 	cached  *promptcache.Estimate
-	// avoidUntil is when the upstream stops being avoided after failed
-	// connections.
-	avoidUntil time.Time
-	// failures counts the failed connections since the last response, up to
-	// maxFailures.
-	failures int
+	reach   reachability.State
 	// leavingSince is when the upstream was first seen to leave, or zero.
 	leavingSince time.Time
 	// buildsDiffer is set if entries of this incarnation name different builds.
@@ -101,8 +90,6 @@
 	// announcedVersion the version that the engine will have.
 	announcedAt      time.Time
 	announcedVersion int64
-	// lastResponse is when the upstream last responded.
-	lastResponse time.Time
 	// updatedAt is when a response or a report of the upstream last showed a
 	// new version.
 	updatedAt time.Time
@@ -392,32 +379,24 @@
 	return list
 }
 
-// ReportUnreachable records that a connection to the upstream failed. The
-// upstream is avoided for a period that doubles with each failure, up to a
-// maximum. Failures while it is avoided do not count.
+// ReportUnreachable records that a connection to the upstream failed, see
+// reachability.State.WithFailure.
 func (t *Table) ReportUnreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		t.reportUnreachable(now, m)
-	}
-}
-
-func (t *Table) reportUnreachable(now time.Time, m *member) {
-	if !m.avoidUntil.After(now) {
-		m.avoidUntil = now.Add(min(maxAvoidPeriod, minAvoidPeriod<<m.failures))
-		m.failures = min(m.failures+1, maxFailures)
+		m.reach = m.reach.WithFailure(now)
 	}
 }
 
 // ReportSilent records that a request to the upstream has been sent elsewhere as well,
-// since the upstream has sent nothing for it since a time. It counts as a failed
-// connection unless the upstream has responded to another request in between.
+// since the upstream has sent nothing for it since a time, see
+// reachability.State.WithSilence.
 func (t *Table) ReportSilent(now time.Time, id string, since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.members[id]; m != nil && !m.lastResponse.After(since) {
-		t.reportUnreachable(now, m)
+	if m := t.members[id]; m != nil {
+		m.reach = m.reach.WithSilence(now, since)
 	}
 }
 
@@ -427,7 +406,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.avoidUntil = now.Add(maxAvoidPeriod)
+		m.reach = m.reach.WithMismatch(now)
 	}
 }
 
@@ -437,7 +416,7 @@
 	defer t.mu.Unlock()
 	var ids []string
 	for id, m := range t.members {
-		if m.avoidUntil.After(now) {
+		if m.reach.Avoided(now) {
 			ids = append(ids, id)
 		}
 	}
@@ -449,7 +428,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
-	return m != nil && !m.lastResponse.IsZero() && now.Sub(m.lastResponse) < d
+	return m != nil && m.reach.RespondedWithin(now, d)
 }
 
 // ReportReachable records a response of the upstream. The upstream is no longer
@@ -458,8 +437,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.lastResponse = now
-		m.avoidUntil = time.Time{}
-		m.failures = 0
+		m.reach = m.reach.WithResponse(now)
 	}
 }
