internal/weights: signs that an engine is loading, out of roster

Callers see no change.

TestLoading is new; its cases fail if an announcement that is 200 ms newer counts as new ("relayed to this again") and if it is relayed for as long as it counts ("announced for long").

--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -153,7 +153,7 @@
 		ID: u.ID, IDHash: m.idHash, Pickable: pickable, Local: u.DataCentre == t.opts.DataCentre, Slots: u.Slots,
 		Generation: u.Generation(), Cached: m.cached, CacheTokens: t.cacheTokens[u.Service],
 		Load: t.memberLoad(m), OwnRequests: m.ownLoad.Requests,
-		Avoided: t.isAvoided(now, m), Loading: m.isLoading(now), EntryExpired: !m.entryExpiredAt.IsZero(),
+		Avoided: t.isAvoided(now, m), Loading: m.loading.Active(now), EntryExpired: !m.entryExpiredAt.IsZero(),
 		Outdated: u.Version < newest, VersionExpired: u.Version < newest && limit > 0 && now.Sub(since) > limit,
 		FirstSeen: m.firstSeen,
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -59,16 +59,10 @@
 // Load is the work that requests put on an upstream.
 type Load = peerload.Load
 
-const (
-	// expiredEntryHold is how long an upstream whose entry in the platform's
-	// store expired during an outage of the store stays a last resort. Entries
-	// of live upstreams are back within 2 s, and reach this VM a little later.
-	expiredEntryHold = 2300 * time.Millisecond
-	// loadingTimeout is how long an engine counts as loading after the last
-	// sign of it. The VM that changes the engine repeats its announcement
-	// several times in this period.
-	loadingTimeout = time.Second
-)
+// expiredEntryHold is how long an upstream whose entry in the platform's
+// store expired during an outage of the store stays a last resort. Entries
+// of live upstreams are back within 2 s, and reach this VM a little later.
+const expiredEntryHold = 2300 * time.Millisecond
 
 // member is an upstream with its state on this VM.
 type member struct {
@@ -84,12 +78,7 @@
 	buildsDiffer bool
 	// entryExpiredAt is when the entry expired during a store outage, or zero.
 	entryExpiredAt time.Time
-	// loadingSeenAt is when the engine last appeared to be loading weights.
-	loadingSeenAt time.Time
-	// announcedAt is when the VM that changes the engine last announced it, and
-	// announcedVersion the version that the engine will have.
-	announcedAt      time.Time
-	announcedVersion int64
+	loading        weights.Loading
 	// updatedAt is when a response or a report of the upstream last showed a
 	// new version.
 	updatedAt time.Time
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -94,20 +94,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.loadingSeenAt = now
+		m.loading = m.loading.WithSign(now)
 	}
 }
 
-const (
-	// minAnnouncementGap is the minimum time by which an announcement must be
-	// newer than the last one. It exceeds the delay of a relayed announcement,
-	// so that VMs which relay to each other do not keep refreshing an old one.
-	minAnnouncementGap = 200 * time.Millisecond
-	// relayPeriod is how long an announcement is relayed: two or three beacons
-	// of each VM, which is enough to reach all.
-	relayPeriod = 450 * time.Millisecond
-)
-
 // Announcement reports that an engine is being changed to a version. AgeMS is
 // the time in milliseconds since the VM that changes the engine announced it.
 type Announcement struct {
@@ -123,11 +113,9 @@
 func (t *Table) RecordAnnouncement(at time.Time, id string, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := t.members[id]
-	if m == nil || m.upstream.Version >= version || at.Sub(m.announcedAt) <= minAnnouncementGap {
-		return
+	if m := t.members[id]; m != nil && m.upstream.Version < version {
+		m.loading = m.loading.WithAnnouncement(at, version)
 	}
-	m.announcedAt, m.announcedVersion = at, version
 }
 
 // Announcements returns the engines that are being changed, to be relayed to
@@ -137,8 +125,8 @@
 	defer t.mu.Unlock()
 	var list []Announcement
 	for id, m := range t.members {
-		if within(now, m.announcedAt, relayPeriod) {
-			list = append(list, Announcement{id, m.announcedVersion, now.Sub(m.announcedAt).Milliseconds()})
+		if version, age, ok := m.loading.Relayed(now); ok {
+			list = append(list, Announcement{id, version, age.Milliseconds()})
 		}
 	}
 	return list
@@ -150,20 +138,16 @@
 	defer t.mu.Unlock()
 	var ids []string
 	for id, m := range t.members {
-		if m.isLoading(now) {
+		if m.loading.Active(now) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-func (m *member) isLoading(now time.Time) bool {
-	return within(now, m.loadingSeenAt, loadingTimeout) || within(now, m.announcedAt, loadingTimeout)
-}
-
 // recordNewWeights records that the engine has finished loading new weights.
 func (m *member) recordNewWeights(now time.Time) {
-	m.loadingSeenAt, m.announcedAt, m.firstSeen = time.Time{}, time.Time{}, now
+	m.loading, m.firstSeen = weights.Loading{}, now
 }
 
 // within reports whether at is set and less than d before now.
--- a/internal/weights/history.go
+++ b/internal/weights/history.go
@@ -1,12 +1,13 @@
 // Package weights records which versions of a model's weights operators have
-// set as the desired ones and when, and computes which older versions may no
-// longer be used.
+// set as the desired ones and when, computes which older versions may no
+// longer be used, and holds the signs that an engine is changing its weights.
 //
 // # Usage
 //
 //	history := weights.NewHistory()
 //	history.Set(now, "m", 2)
 //	oldest := history.OldestAllowed(now, "m", disruptions, limits)
+//	loading = loading.WithAnnouncement(now, 2) // signs of one engine
 //
 // A History is not safe for concurrent use.
 package weights
