--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -111,6 +111,7 @@
 	streams               *lineage.Agent
 	drains                *health.Drains
 	backoffs              *health.Backoffs
+	ejections             *health.Ejections
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
 	rollout               *rollout.Rollout
@@ -164,6 +165,7 @@
 		crashTracker:  suspect.NewTracker(),
 		drains:        health.NewDrains(milliseconds(s.DrainMS) - drainNoticeMargin),
 		backoffs:      health.NewBackoffs(s.Name),
+		ejections:     health.NewEjections(s.Name),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeadBytes}},
 		fetching:      make(map[string]bool),
@@ -268,6 +270,7 @@
 		Limits:        v.limits,
 		Drains:        v.drains,
 		Backoffs:      v.backoffs,
+		Ejections:     v.ejections,
 		Fleet:         v,
 		Streams:       countedStreams{v},
 		Metrics:       v.metrics,
@@ -319,6 +322,8 @@
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
 	// Bypass kratos's router, which would clean the paths that callers send.
 	server.Handler = handler
+	// Otherwise net/http responds to "OPTIONS *" itself.
+	server.DisableGeneralOptionsHandler = true
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = log.New(serverErrors{v, address}, "", 0)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -113,9 +113,13 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body in bytes, or -1 if the head does not state it.
+	// Length is the length of the body in bytes, or -1 if the head does not state it. It
+	// is 0 for a response to HEAD.
 	Length int64
-	Body   io.Reader
+	// Delimited is set if a length or chunks tell the end of the body. Else it is that of
+	// the connection, which may also be that of the upstream.
+	Delimited bool
+	Body      io.Reader
 }
 
 // Do sends the request and returns once the head of the response has arrived.
@@ -152,7 +156,14 @@
 			return Response{}, fmt.Errorf("exchange: read: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body}, nil
+			length := resp.ContentLength
+			if method == http.MethodHead {
+				length = 0
+			}
+			return Response{
+				Status: resp.StatusCode, Header: resp.Header, Length: length,
+				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body,
+			}, nil
 		}
 	}
 	return Response{}, fmt.Errorf("exchange: read: %w", &readlimit.Error{Kind: "head", Limit: maxInterimResponses, Unit: "interim responses"})
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/eventstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/leg"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
@@ -37,6 +38,14 @@
 			return false, errors.New("the stream ended without an event, and another one goes on")
 		}
 		j.dropOthers(l)
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Sound)
+		return true, nil
+	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && l.Response.Delimited:
+		// Without a length or chunks, the end before the first event may be a crash.
+		j.dropOthers(l)
+		j.runs++
+		j.endLeg(l)
+		j.write(bufferedAnswer{response: l.Response})
 		return true, nil
 	case r.Err != nil && ctx.Err() != nil:
 		return false, j.endLegs(ctx) // it failed since its time is over
@@ -140,6 +149,9 @@
 	}
 	j.recordSuspicion(now, aliveAt, l, reason == reasonCut)
 	e := j.h.opts.CrashTracker.Evidence(now, j.Fingerprint)
+	if reason == reasonCut && !j.breaksSeveral(now) && !impliesNotRun(l.Response.Status) {
+		j.h.selector.ObserveOutcome(now, l.Upstream, j.Fingerprint, health.Broken)
+	}
 	j.logEvent(now).Str("incarnation", l.Upstream.Incarnation()).Str("fingerprint", j.Fingerprint).Str("reason", reason).
 		Str("parts", j.Head.SharedIDs()).Bool("begun", l.Begun).Bool("forwarded", l.Forwarded).Int("broken", e.Broken).Int("crashes", e.Crashes).AnErr("cause", err).Msg("attempt without a complete response")
 }
@@ -153,6 +165,7 @@
 	case !l.Head.Signed || l.Head.Encoded:
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the response with status %d is unsigned or has a content encoding", status))
 	case status >= http.StatusInternalServerError && !impliesNotRun(status) && (len(j.legs) > 1 || j.mayReplaceFailure()):
+		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Failed)
 		j.runs++
 		j.endLeg(l)
 		if len(body) <= maxKeptFailure {
@@ -162,6 +175,11 @@
 	case impliesNotRun(status):
 		return false, j.handleBroken(ctx, l, fmt.Errorf("the upstream responded with status %d but did not state that the request has not run", status))
 	}
+	outcome := health.Sound
+	if status >= http.StatusInternalServerError {
+		outcome = health.Failed
+	}
+	j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, outcome)
 	j.dropOthers(l)
 	j.runs++
 	j.failed = status >= http.StatusBadRequest
@@ -180,7 +198,11 @@
 func (j *job) write(a bufferedAnswer) {
 	j.responding = true
 	j.h.opts.Codec.CopyResponseHeader(j.w.Header(), a.response.Header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if j.r.Method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if length := a.response.Header.Get("Content-Length"); length != "" {
+		j.w.Header().Set("Content-Length", length)
+	}
 	j.w.WriteHeader(a.response.Status)
 	_, err := j.w.Write(a.body)
 	if err == nil {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -65,6 +65,7 @@
 	Limits       *permit.Agent
 	Drains       *health.Drains
 	Backoffs     *health.Backoffs
+	Ejections    *health.Ejections
 	Fleet        Fleet
 	// Streams may be nil: then a stream goes on at any build.
 	Streams lineage.Streams
@@ -109,7 +110,7 @@
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
 	selector := selection.New(selection.Options{
-		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Metrics: opts.Metrics, Log: opts.Log,
+		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Ejections: opts.Ejections, Metrics: opts.Metrics, Log: opts.Log,
 	})
 	return &Handler{opts: opts, selector: selector, stopping: make(chan struct{})}
 }
@@ -127,6 +128,16 @@
 // an answer has been sent. It must be called once, shortly before the process ends.
 func (h *Handler) Stop() { close(h.stopping) }
 
+// isStopping reports whether Stop has been called.
+func (h *Handler) isStopping() bool {
+	select {
+	case <-h.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.opts.Now()
