--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,10 +22,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerload"
 	"github.com/hibiscuscove/hibiscuscove/internal/promptcache"
+	"github.com/hibiscuscove/hibiscuscove/internal/reachability"
 	"github.com/hibiscuscove/hibiscuscove/internal/weights"
 )
 
@@ -51,36 +51,18 @@
 // Incarnation returns the name of this start of the upstream.
 func (u Upstream) Incarnation() string { return u.ID + "@" + strconv.FormatInt(u.Born, 10) }
 
-// Generation is what cached prompt parts depend on: parts of different weights, or
-// written by different builds of an engine, do not fit together.
-type Generation struct {
-	Version int64
-	Build   string
-}
-
 // Generation returns the generation of the parts that the upstream caches.
-func (u Upstream) Generation() Generation { return Generation{u.Version, u.Build} }
+func (u Upstream) Generation() promptcache.Generation {
+	return promptcache.Generation{Version: u.Version, Build: u.Build}
+}
 
 // Load is the work that requests put on an upstream.
 type Load = peerload.Load
 
-const (
-	// minAvoidPeriod and maxAvoidPeriod limit how long an upstream is avoided
-	// after failed connections.
-	minAvoidPeriod = 700 * time.Millisecond
-	maxAvoidPeriod = 5 * time.Second
-	// maxFailures is the number of failed connections at which the doubled
-	// period has passed maxAvoidPeriod.
-	maxFailures = 4
-	// expiredEntryHold is how long an upstream whose entry in the platform's
-	// store expired during an outage of the store stays a last resort. Entries
-	// of live upstreams are back within 2 s, and reach this VM a little later.
-	expiredEntryHold = 2300 * time.Millisecond
-	// loadingTimeout is how long an engine counts as loading after the last
-	// sign of it. The VM that changes the engine repeats its announcement
-	// several times in this period.
-	loadingTimeout = time.Second
-)
+// expiredEntryHold is how long an upstream whose entry in the platform's
+// store expired during an outage of the store stays a last resort. Entries
+// of live upstreams are back within 2 s, and reach this VM a little later.
+const expiredEntryHold = 2300 * time.Millisecond
 
 // member is an upstream with its state on this VM.
 type member struct {
@@ -89,26 +71,14 @@
 	idHash  uint64
 	ownLoad Load
 	cached  *promptcache.Estimate
-	// avoidUntil is when the upstream stops being avoided after failed
-	// connections.
-	avoidUntil time.Time
-	// failures counts the failed connections since the last response, up to
-	// maxFailures.
-	failures int
+	reach   reachability.State
 	// leavingSince is when the upstream was first seen to leave, or zero.
 	leavingSince time.Time
 	// buildsDiffer is set if entries of this incarnation name different builds.
 	buildsDiffer bool
 	// entryExpiredAt is when the entry expired during a store outage, or zero.
 	entryExpiredAt time.Time
-	// loadingSeenAt is when the engine last appeared to be loading weights.
-	loadingSeenAt time.Time
-	// announcedAt is when the VM that changes the engine last announced it, and
-	// announcedVersion the version that the engine will have.
-	announcedAt      time.Time
-	announcedVersion int64
-	// lastResponse is when the upstream last responded.
-	lastResponse time.Time
+	loading        weights.Loading
 	// updatedAt is when a response or a report of the upstream last showed a
 	// new version.
 	updatedAt time.Time
@@ -117,7 +87,7 @@
 }
 
 func newMember(now time.Time, u Upstream) *member {
-	m := &member{upstream: u, firstSeen: now, idHash: xxhash.Sum64String(u.ID), cached: promptcache.New()}
+	m := &member{upstream: u, firstSeen: now, idHash: costmodel.Hash(u.ID), cached: promptcache.New()}
 	if u.Leaving {
 		m.leavingSince = now
 	}
@@ -129,7 +99,7 @@
 	// DataCentre is the data centre of this VM.
 	DataCentre string
 	// Policy holds the weights of the costs.
-	Policy Policy
+	Policy costmodel.Policy
 	// VersionLimits limit how long an engine with older weights gets requests
 	// after a newer version became the desired one.
 	VersionLimits VersionLimits
@@ -145,6 +115,8 @@
 	members map[string]*member
 	// picks counts the calls of Pick.
 	picks uint64
+	// candidates is the list of the last pick, whose memory the next one uses.
+	candidates []costmodel.Candidate
 	// ended holds when incarnations were last seen to have ended. heldBack holds
 	// entries of such incarnations in a copy of the store, by ID.
 	ended    map[string]time.Time
@@ -160,7 +132,7 @@
 	peers *peerload.Peers
 	// slowdown is the ratio of the measured to the estimated waits for first
 	// tokens.
-	slowdown slowdown
+	slowdown costmodel.Slowdown
 	// partialView reports that the fleet is too large for each VM to receive
 	// the states of all others in time.
 	partialView bool
@@ -171,7 +143,7 @@
 
 // New returns an empty Table.
 func New(opts Options) *Table {
-	opts.Policy = opts.Policy.withDefaults()
+	opts.Policy = opts.Policy.WithDefaults()
 	return &Table{
 		opts:        opts,
 		members:     make(map[string]*member),
@@ -396,32 +368,24 @@
 	return list
 }
 
-// ReportUnreachable records that a connection to the upstream failed. The
-// upstream is avoided for a period that doubles with each failure, up to a
-// maximum. Failures while it is avoided do not count.
+// ReportUnreachable records that a connection to the upstream failed, see
+// reachability.State.WithFailure.
 func (t *Table) ReportUnreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		t.reportUnreachable(now, m)
-	}
-}
-
-func (t *Table) reportUnreachable(now time.Time, m *member) {
-	if !m.avoidUntil.After(now) {
-		m.avoidUntil = now.Add(min(maxAvoidPeriod, minAvoidPeriod<<m.failures))
-		m.failures = min(m.failures+1, maxFailures)
+		m.reach = m.reach.WithFailure(now)
 	}
 }
 
 // ReportSilent records that a request to the upstream has been sent elsewhere as well,
-// since the upstream has sent nothing for it since a time. It counts as a failed
-// connection unless the upstream has responded to another request in between.
+// since the upstream has sent nothing for it since a time, see
+// reachability.State.WithSilence.
 func (t *Table) ReportSilent(now time.Time, id string, since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m := t.members[id]; m != nil && !m.lastResponse.After(since) {
-		t.reportUnreachable(now, m)
+	if m := t.members[id]; m != nil {
+		m.reach = m.reach.WithSilence(now, since)
 	}
 }
 
@@ -431,7 +395,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.avoidUntil = now.Add(maxAvoidPeriod)
+		m.reach = m.reach.WithMismatch(now)
 	}
 }
 
@@ -441,7 +405,7 @@
 	defer t.mu.Unlock()
 	var ids []string
 	for id, m := range t.members {
-		if m.avoidUntil.After(now) {
+		if m.reach.Avoided(now) {
 			ids = append(ids, id)
 		}
 	}
@@ -453,7 +417,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
-	return m != nil && !m.lastResponse.IsZero() && now.Sub(m.lastResponse) < d
+	return m != nil && m.reach.RespondedWithin(now, d)
 }
 
 // ReportReachable records a response of the upstream. The upstream is no longer
@@ -462,8 +426,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.lastResponse = now
-		m.avoidUntil = time.Time{}
-		m.failures = 0
+		m.reach = m.reach.WithResponse(now)
 	}
 }
