internal/suspect: an earlier request hides no crash

Callers could see: more engines crash on a prompt part than three, one more for each engine at which an earlier request with the part had ended without a whole answer, as when its caller left.

Cause: of several broken responses of one incarnation the first one's time counts, also if a whole answer since then speaks for it. The crash then had the time of that earlier one.

Evidence: TestEarlierRequestsHideNoCrash failed before: three crashes, Likely 0. Found when the change was read once more; no run of processes showed it.

Change: what no longer counts is replaced.

--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -283,3 +283,22 @@
 		})
 	}
 }
+
+// Guards against BUDGET: a caller that had left hid that its upstream later crashed under
+// another request with the part.
+func TestEarlierRequestsHideNoCrash(t *testing.T) {
+	part := suspect.PartFingerprints("acme", "m", toParts([]string{"bad"}))[0]
+	tracker := suspect.NewTracker()
+	for i := range 3 {
+		tracker.RecordUnanswered(start, start, part, incarnation(i, 0), false)
+	}
+	tracker.RecordCompleted(start.Add(time.Second), part)
+	now := start.Add(40 * time.Second)
+	for i := range 3 {
+		tracker.RecordUnanswered(now, now, part, incarnation(i, 0), true)
+		now = now.Add(time.Second)
+	}
+	if e := tracker.Evidence(now, part); !tracker.IsBlocked(now, part) {
+		t.Errorf("not blocked, evidence %+v", e)
+	}
+}
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -186,7 +186,7 @@
 		t.suspects[fingerprint] = s
 	}
 	old, known := s.broken[incarnation]
-	if known {
+	if known && (b.aliveAt.IsZero() || old.aliveAt.After(s.completedAt)) {
 		// The first time is closest to the crash.
 		b = brokenResponse{aliveAt: old.aliveAt, cut: old.cut || b.cut, crashed: old.crashed || b.crashed}
 	}
