internal/suspect: a trial that did not run counts as none

Sound parts had been blocked while VMs that had just started knew of no whole answer.

Cause: the trial that would have freed them was turned away by an engine that loaded weights (not run). It counted like a trial that crashes an engine, so that the next one was due 30 s later.

TestTrialThatDidNotRunCostsLittle failed before: trials after 5 s and 35 s, want 5 s, 10 s and, once one has crashed an engine, 30 s later.

Change: a trial counts when the part is seen to crash an upstream after it. Until then the next one is due 5 s later. VMs tell each other when the last one was sent.

--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
 )
@@ -302,3 +304,39 @@
 		t.Errorf("not blocked, evidence %+v", e)
 	}
 }
+
+// Guards against LOST: a trial that an upstream turned away counted like one that crashed
+// it, and a sound part stayed blocked for half a minute more.
+func TestTrialThatDidNotRunCostsLittle(t *testing.T) {
+	part := suspect.PartFingerprints("acme", "m", toParts([]string{"sound"}))[0]
+	first := func(string) int { return 0 }
+	tracker, peer := suspect.NewTracker(), suspect.NewTracker()
+	now := start
+	crash := func(engine int) {
+		tracker.RecordUnanswered(now, now, part, incarnation(engine, 0), true)
+		tracker.RecordEnded(now, []roster.Change{{Kind: roster.Removed, EndedIncarnation: incarnation(engine, 0)}})
+	}
+	for i := range 3 {
+		crash(i)
+	}
+	var got []int
+	for ms := 0; ms < 60_000; ms += 100 {
+		now = start.Add(time.Duration(ms) * time.Millisecond)
+		for _, r := range tracker.Reports(now) {
+			peer.Merge(now, r)
+		}
+		if _, blocked := tracker.Check(now, "request", []string{part}, first); !blocked {
+			got = append(got, ms)
+			if len(got) == 2 {
+				now = now.Add(time.Millisecond)
+				crash(3)
+			}
+		}
+		if _, blocked := peer.Check(now, "request", []string{part}, func(string) int { return 1 }); !blocked {
+			t.Errorf("a peer sends a trial after %d ms too", ms)
+		}
+	}
+	if diff := cmp.Diff([]int{5000, 10_000, 40_100}, got); diff != "" {
+		t.Errorf("trials in ms (-want +got):\n%s", diff)
+	}
+}
--- a/internal/suspect/report.go
+++ b/internal/suspect/report.go
@@ -13,8 +13,9 @@
 	Fingerprint string         `json:"fingerprint" cbor:"1,keyasint"`
 	Broken      []BrokenReport `json:"broken" cbor:"2,keyasint"`
 	// CompletedAgeMS is the time since the prompt part was last part of a whole answer, 0
-	// if it is not known to have been. Trials is the number of trials since then, and
-	// TriedAgeMS the time since the last one. They are sent for prompt parts only.
+	// if it is not known to have been. Trials is the number of trials since then that
+	// crashed an upstream, and TriedAgeMS the time since the last trial, 0 if there was
+	// none. They are sent for prompt parts only.
 	CompletedAgeMS int64 `json:"completed_age_ms,omitempty" cbor:"3,keyasint,omitempty"`
 	Trials         int   `json:"trials,omitempty" cbor:"4,keyasint,omitempty"`
 	TriedAgeMS     int64 `json:"tried_age_ms,omitempty" cbor:"5,keyasint,omitempty"`
@@ -39,7 +40,9 @@
 	if r.CompletedAgeMS > 0 {
 		r.CompletedAgeMS += by.Milliseconds()
 	}
-	r.TriedAgeMS += by.Milliseconds()
+	if r.TriedAgeMS > 0 {
+		r.TriedAgeMS += by.Milliseconds()
+	}
 	return r
 }
 
@@ -165,8 +168,8 @@
 	if part && !s.completedAt.IsZero() && now.Sub(s.completedAt) < TTL {
 		r.CompletedAgeMS = max(1, now.Sub(s.completedAt).Milliseconds())
 	}
-	if s.trials > 0 {
-		r.Trials, r.TriedAgeMS = s.trials, now.Sub(s.triedAt).Milliseconds()
+	if !s.triedAt.IsZero() && now.Sub(s.triedAt) < TTL {
+		r.Trials, r.TriedAgeMS = s.trials, max(1, now.Sub(s.triedAt).Milliseconds())
 	}
 	for _, incarnation := range slices.Sorted(maps.Keys(s.broken)) {
 		b := s.broken[incarnation]
@@ -252,8 +255,14 @@
 		}
 	}
 	age := time.Duration(r.TriedAgeMS) * time.Millisecond
-	if triedAt := now.Add(-age); r.Trials > 0 && age >= 0 && age < TTL && triedAt.After(s.completedAt) && r.Trials > s.trials {
-		s.trials, s.triedAt = min(r.Trials, maxTrials), triedAt
-		t.markFresh(r.Fingerprint)
+	if triedAt := now.Add(-age); age > 0 && age < TTL && triedAt.After(s.completedAt) {
+		if triedAt.Sub(s.triedAt) > maxTrialSkew {
+			s.triedAt = triedAt
+			t.markFresh(r.Fingerprint)
+		}
+		if r.Trials > s.trials {
+			s.trials, s.failedTrial = min(r.Trials, maxTrials), s.triedAt
+			t.markFresh(r.Fingerprint)
+		}
 	}
 }
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -93,10 +93,11 @@
 	// completedAt is when the request last ran to completion on this VM, or a request
 	// with the part on any VM. Earlier broken responses do not count.
 	completedAt time.Time
-	// trials is the number of trials since then, and triedAt is when the last one was
+	// triedAt is when the last trial was sent. trials is the number of trials since
+	// completedAt that crashed an upstream, and failedTrial when the last of these was
 	// sent.
-	trials  int
-	triedAt time.Time
+	trials               int
+	triedAt, failedTrial time.Time
 	// own reports whether the request has run through this VM.
 	own bool
 }
@@ -205,6 +206,10 @@
 	if b.cut {
 		t.watchForLife(incarnation)
 	}
+	if (b.cut || b.crashed) && b.aliveAt.After(s.triedAt) && s.triedAt.After(s.failedTrial) {
+		s.trials++
+		s.failedTrial = s.triedAt
+	}
 	e := t.evidence(now, fingerprint)
 	if e.Blocked() {
 		t.mayBlock[fingerprint] = true
--- a/internal/suspect/trial.go
+++ b/internal/suspect/trial.go
@@ -4,14 +4,17 @@
 
 // Trials of a blocked part: one request that shows whether it still crashes upstreams.
 const (
-	// firstTrialDelay is the time from the last crash to the first trial, and
-	// trustedTrialDelay that of a part that was in whole answers shortly before the first
-	// crash. Each further delay is trialDelayFactor times the one before.
+	// firstTrialDelay is the time from the last crash to the first trial, and from a trial
+	// that did not run to the next one. trustedTrialDelay is that of a part that was in
+	// whole answers shortly before the first crash. After each trial that crashes an
+	// upstream the delay is trialDelayFactor times the one before.
 	firstTrialDelay   = 5 * time.Second
 	trustedTrialDelay = time.Second
 	trialDelayFactor  = 6
 	maxTrialDelay     = TTL
 	maxTrials         = 16
+	// maxTrialSkew is how much the time of one trial may differ between VMs.
+	maxTrialSkew = 500 * time.Millisecond
 	// trialRankDelay is the time between the VMs that may make a trial. It is long
 	// enough for the news of one to reach the others.
 	trialRankDelay = time.Second
@@ -59,7 +62,6 @@
 	}
 	for _, f := range blocked {
 		if s := t.suspects[f.Fingerprint]; s != nil {
-			s.trials++
 			s.triedAt = now
 			t.markFresh(f.Fingerprint)
 		}
