--- a/internal/entryvm/extreme_test.go
+++ b/internal/entryvm/extreme_test.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
+	"github.com/hibiscuscove/hibiscuscove/platform"
 )
 
 // fill sets all numbers of a value to one and gives lists and maps an element.
@@ -67,7 +68,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Host, r.Header = "desk.example", http.Header{"Request-Attempt-Id": {"a1"}, "Model": {"m"}, "Token-Count": {"90,8"}, "Prompt-Prefix": {"1a:50,2b:40"}}
+		r.Host, r.Header = "desk.example", http.Header{"Request-Attempt-Id": {"a1"}, "Model": {"m"}, "Token-Count": {"90,8"}, platform.HeaderPromptPrefix: {"1a:50,2b:40"}}
 		resp, err := http.DefaultClient.Do(r)
 		if err != nil {
 			t.Fatal(err)
