--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -222,7 +222,8 @@
 // an error if the connection does not take it.
 func (h *Handler) refuse(w http.ResponseWriter, q message.Request, e *verdict.Error) error {
 	h.incCounter("refusals." + e.Code)
-	h.opts.Log.Info().Str("request", q.ID).Str("code", e.Code).Int("status", e.Status).Stringer("verdict", e.Verdict).
+	configuration := h.opts.Configuration.Revision()
+	h.opts.Log.Info().Str("request", q.ID).Uint64("configuration", configuration).Str("code", e.Code).Int("status", e.Status).Stringer("verdict", e.Verdict).
 		Dur("retry_after", e.RetryAfter).AnErr("cause", e.Err).Msg("request refused")
 	h.opts.Codec.WriteError(w, q.ID, e)
 	return http.NewResponseController(w).Flush()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -254,6 +254,7 @@
 			wait.For(ctx, idleInterval)
 			continue
 		}
+		called := f.opts.Now()
 		err := f.listOrWatch(ctx, list)
 		switch {
 		case err == nil:
@@ -270,7 +271,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordFailure(f.opts.Now(), err)
+		f.recordFailure(f.opts.Now(), called, err)
 		wait.For(ctx, backoff/2+rand.N(backoff))
 		backoff = min(maxBackoff, 2*backoff)
 	}
@@ -313,13 +314,13 @@
 	return nil
 }
 
-// recordFailure records that a call to the store has failed.
-func (f *Follower[T]) recordFailure(now time.Time, err error) {
+// recordFailure records that a call to the store, made at called, has failed.
+func (f *Follower[T]) recordFailure(now, called time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
 		f.failingSince = now
-		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", f.position.Era).Uint64("revision", f.position.Revision).Err(err).Msg("store lost")
+		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", f.position.Era).Uint64("revision", f.position.Revision).Int64("waited_ms", now.Sub(called).Milliseconds()).Err(err).Msg("store lost")
 	}
 }
 
