internal/registry, internal/entryvm: a lost watch keeps no VM from a change

What callers saw: two seconds after a change was confirmed some VMs still answered as the configuration before the outage said (404 on new routes).

Cause: a watch whose answer an outage loses was given up only up to 4.7 s after it was sent, and the call after a failed one was again such a watch. A VM was up to date once it or a peer happened to call again.

Change: a follower must have noticed a lost answer, and called again, within a time that follows from contact_ms (new setting): watches of the configuration and of the upstreams wait 1.5 to 2 s, those of the few VMs that watch in a large fleet 0.45 to 0.6 s, and after a failed call 0.3 s at the most, until the store answers.

TestOutageDelaysNoChange, one VM without peers, 60 phases each, outages of 0, 1, 2, 3, 5, 8, 20 s: longest delay after the return 4.45, 4.45, 4.63, 4.49, 4.44, 4.65, 5.41 s before (142 of 420 over 3 s); 2.72, 1.52, 1.3, 1.49, 1.78, 1.95, 1.84 s now. It got the new option; its bound is unchanged.

--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -45,6 +45,9 @@
 	StopMS int `json:"stop_ms"`
 	// DrainMS is how long upstreams that leave go on serving.
 	DrainMS int `json:"drain_ms"`
+	// ContactMS is the time after a disruption, such as an outage of the store, from which
+	// on the VM must have what has changed meanwhile.
+	ContactMS int `json:"contact_ms"`
 	// EntryTTLMS is how long callers may cache the addresses of a look-up.
 	EntryTTLMS int `json:"entry_ttl_ms"`
 	// LeaseMS is the minimum time between the orders of two holders of the
@@ -78,6 +81,7 @@
 		LinkMbps:         10,
 		StopMS:           8_000,
 		DrainMS:          2_000,
+		ContactMS:        3_000,
 		EntryTTLMS:       1_000,
 		LeaseMS:          3_000,
 		VersionMS:        15_000,
@@ -141,6 +145,7 @@
 		{"memory_mb", s.MemoryMB, 16, 1 << 20},
 		{"stop_ms", s.StopMS, 500, 3_600_000},
 		{"drain_ms", s.DrainMS, 0, 600_000},
+		{"contact_ms", s.ContactMS, 1_000, 600_000},
 		{"entry_ttl_ms", s.EntryTTLMS, 100, 60_000},
 		{"lease_ms", s.LeaseMS, 100, 600_000},
 		{"version_ms", s.VersionMS, 100, 3_600_000},
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -19,7 +19,7 @@
 	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`,
 	"listen.directory|json": `"10.1.0.30:8780"`, "listen.control|json": `"10.1.0.30:8783"`,
 	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134", "limits.link_mbps": "1000.0",
-	"bounds.grace_s": "8", "bounds.drain_ms": "2500", "bounds.lease_ms": "3000", "bounds.version_ms": "15000", "bounds.version_all_ms": "21000", "bounds.retry_budget_ratio": "0.2",
+	"bounds.grace_s": "8", "bounds.drain_ms": "2500", "bounds.contact_ms": "3000", "bounds.lease_ms": "3000", "bounds.version_ms": "15000", "bounds.version_all_ms": "21000", "bounds.retry_budget_ratio": "0.2",
 	"bounds.budget_slack": "58", "bounds.budget_window_s": "10",
 }
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -196,10 +196,10 @@
 
 func (v *VM) buildFollowers() {
 	v.configurationFollower = registry.NewFollower(registry.Options[routing.Document]{
-		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
+		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, MaxSilence: v.maxStoreSilence, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
 	})
 	v.upstreamFollower = registry.NewFollower(registry.Options[roster.Upstream]{
-		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, CollectInterval: v.upstreamCollectInterval, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
+		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, MaxSilence: v.maxStoreSilence, CollectInterval: v.upstreamCollectInterval, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
 	})
 	v.versionFollower = registry.NewFollower(registry.Options[platform.DesiredVersion]{
 		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -74,6 +74,21 @@
 	return min(1, targetFollowers/float64(vms))
 }
 
+// largeFleetSilence is maxStoreSilence in a large fleet: when the connections of the few
+// VMs that watch fall silent, the others still need the time to notice that, to watch
+// instead, and to pass on what they learn.
+const largeFleetSilence = 1200 * time.Millisecond
+
+// maxStoreSilence returns within what time this VM notices that the store's answers no
+// longer arrive.
+func (v *VM) maxStoreSilence() time.Duration {
+	contact := milliseconds(v.settings.ContactMS)
+	if len(v.beacon.Alive(v.opts.Now()))+1 <= roster.MaxFullViewVMs {
+		return contact
+	}
+	return min(contact, largeFleetSilence)
+}
+
 // storeHealthy reports whether this VM's calls to the store succeed.
 func (v *VM) storeHealthy() bool {
 	return v.configurationFollower.Healthy() && v.upstreamFollower.Healthy() && v.versionFollower.Healthy()
--- a/internal/registry/outage_test.go
+++ b/internal/registry/outage_test.go
@@ -121,6 +121,7 @@
 					}
 					f := registry.NewFollower(registry.Options[string]{
 						Name: "test", Feed: store, Sink: &fakeSink{}, Now: time.Now, ShouldWatch: func(time.Time) bool { return true }, Log: zerolog.Nop(),
+						MaxSilence: func() time.Duration { return contact },
 					})
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -67,7 +67,8 @@
 	// List returns the whole collection. It returns ErrLateResponse if the store
 	// has come back from a copy meanwhile.
 	List(ctx context.Context) (Page[T], error)
-	// Watch waits up to wait for changes after a revision and returns them. It
+	// Watch waits up to wait for changes after a revision and returns them, and ends
+	// with ctx if no response arrives. It
 	// returns a Page without items if there are none, and ErrHistoryGone if the
 	// store no longer has these changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Page[T], error)
@@ -87,10 +88,15 @@
 }
 
 const (
-	// watchWait is the maximum time that a watch waits. It is short enough that
-	// some VM of the fleet soon starts a new watch and notices if all open
-	// connections have gone silent.
-	watchWait = 4 * time.Second
+	// defaultMaxSilence is the default of Options.MaxSilence.
+	defaultMaxSilence = 5 * time.Second
+	// maxWatchMargin is the longest time after the end of its wait in which the response
+	// to a watch may still arrive. It is well over the response time of a slow store.
+	maxWatchMargin = 700 * time.Millisecond
+	// retryRoom is left of Options.MaxSilence for the first call after a lost one.
+	retryRoom = 300 * time.Millisecond
+	// outageWait is how long a watch waits after a failed call. An outage may lose it too.
+	outageWait = 300 * time.Millisecond
 	// minBackoff and maxBackoff limit the backoff after a failed call.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
@@ -107,7 +113,7 @@
 // errNewEra means that a watch has returned changes of a new era.
 var errNewEra = errors.New("registry: the store has come back from a copy")
 
-// Options configures a Follower. All but CollectInterval and Log are required.
+// Options configures a Follower. All but MaxSilence, CollectInterval and Log are required.
 type Options[T any] struct {
 	// Name is the collection's name in logs.
 	Name string
@@ -118,6 +124,10 @@
 	// The others receive updates from them, so that the number of calls to the
 	// store does not grow with the fleet.
 	ShouldWatch func(now time.Time) bool
+	// MaxSilence, if it is set, returns within what time a Follower must have noticed
+	// that the response to a watch is lost, and made another call. The shorter it is,
+	// the more calls are made while nothing changes. The default is 5 s.
+	MaxSilence func() time.Duration
 	// CollectInterval, if it is set, returns how long changes are collected in the
 	// store before the next watch.
 	CollectInterval func() time.Duration
@@ -300,7 +310,7 @@
 		return nil
 	}
 	after := f.Position()
-	page, err := f.opts.Feed.Watch(ctx, after.Revision, watchWait-rand.N(watchWait/4))
+	page, err := f.watch(ctx, after.Revision)
 	if err != nil {
 		return err
 	}
@@ -314,6 +324,24 @@
 	return nil
 }
 
+// watch waits for changes after a revision. After a failed call it waits only shortly: an
+// answer that an outage loses must not keep the next call waiting.
+func (f *Follower[T]) watch(ctx context.Context, after uint64) (Page[T], error) {
+	maxSilence := defaultMaxSilence
+	if f.opts.MaxSilence != nil {
+		maxSilence = f.opts.MaxSilence()
+	}
+	margin := min(maxWatchMargin, maxSilence/4)
+	longest := max(outageWait, maxSilence-margin-retryRoom)
+	if !f.Healthy() {
+		longest = outageWait
+	}
+	wait := longest - rand.N(longest/4)
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	return f.opts.Feed.Watch(ctx, after, wait)
+}
+
 // recordFailure records that a call to the store, made at called, has failed.
 func (f *Follower[T]) recordFailure(now, called time.Time, err error) {
 	f.mu.Lock()
