internal/entryvm: silent kept connections delay no state from peers

When open connections fall silent, each kept one to a peer costs a download 0.7 s, one after the other: the next beacon starts the next download, on the next silent connection. Downloads have connections of their own now.

--- a/internal/entryvm/export_test.go
+++ b/internal/entryvm/export_test.go
@@ -22,3 +22,6 @@
 	}
 	return 0
 }
+
+// NewPeerClient returns the client that fetches states from other VMs.
+var NewPeerClient = newPeerClient
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -25,8 +25,7 @@
 )
 
 const (
-	peerTimeout     = 700 * time.Millisecond
-	peerIdleTimeout = 90 * time.Second
+	peerTimeout = 700 * time.Millisecond
 	// maxPeerHeadBytes limits the head of a peer's response.
 	maxPeerHeadBytes = 16 << 10
 	maxSnapshotBytes = 16 << 20
@@ -222,6 +221,12 @@
 	})
 }
 
+// newPeerClient returns the client that fetches states from other VMs. Fetches are rare,
+// and each has a connection of its own: kept ones may have fallen silent, all at once.
+func newPeerClient() *http.Client {
+	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+}
+
 // startFetch runs a download of a collection in a goroutine, unless one is running.
 func (v *VM) startFetch(collection string, fetch func()) {
 	v.mu.Lock()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -167,7 +167,7 @@
 		backoffs:      health.NewBackoffs(s.Name),
 		ejections:     health.NewEjections(s.Name),
 		metrics:       metrics.NewRegistry(),
-		peerClient:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeadBytes}},
+		peerClient:    newPeerClient(),
 		fetching:      make(map[string]bool),
 		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS)}),
 	}
