--- a/internal/objectstore/httpstore.go
+++ b/internal/objectstore/httpstore.go
@@ -17,10 +17,10 @@
 
 const (
 	defaultCallTimeout  = 2 * time.Second
-	defaultWatchTimeout = 25 * time.Second
+	defaultWatchTimeout = 5 * time.Second
 	// watchTimeoutMargin is added to WatchTimeout on the client's side, so that
 	// the server ends a watch first.
-	watchTimeoutMargin = 5 * time.Second
+	watchTimeoutMargin = 2 * time.Second
 	dialTimeout        = time.Second
 	idleTimeout        = 10 * time.Second
 	maxHeadBytes       = 64 << 10
@@ -33,7 +33,7 @@
 	// CallTimeout limits each call except Watch. The default is 2 s.
 	CallTimeout time.Duration
 	// WatchTimeout is the time that Watch asks the server to wait for a change, in
-	// whole seconds. The default is 25 s.
+	// whole seconds. The default is 5 s.
 	WatchTimeout time.Duration
 }
 
