--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -89,6 +89,8 @@
 	Boot func() time.Duration
 	// Log defaults to no logging.
 	Log zerolog.Logger
+	// DialUpstream, if it is set, opens the connections to upstreams in place of the network.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // VM is one entry VM. It is created by New and runs once.
@@ -169,7 +171,7 @@
 		metrics:       metrics.NewRegistry(),
 		peerClient:    newPeerClient(),
 		fetching:      make(map[string]bool),
-		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS)}),
+		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS), Dial: opts.DialUpstream}),
 	}
 	v.store = platform.NewStore(s.StoreAddress, v.metrics)
 	v.store.SetLog(v.log)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,11 +57,14 @@
 type DialerOptions struct {
 	// ConnectTimeout limits the opening of a connection. The default is 60 ms.
 	ConnectTimeout time.Duration
+	// Dial, if it is set, opens connections in place of the network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dialer opens connections to upstreams.
 type Dialer struct {
-	dialer net.Dialer
+	timeout time.Duration
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewDialer returns a Dialer.
@@ -69,7 +72,10 @@
 	if opts.ConnectTimeout <= 0 {
 		opts.ConnectTimeout = defaultConnectTimeout
 	}
-	return &Dialer{dialer: net.Dialer{Timeout: opts.ConnectTimeout, KeepAlive: -1}}
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	return &Dialer{timeout: opts.ConnectTimeout, dial: opts.Dial}
 }
 
 // Conn is an open connection for one request.
@@ -82,13 +88,26 @@
 // Connect opens a TCP connection, which is closed when ctx is done. An error
 // means that nothing was sent.
 func (d *Dialer) Connect(ctx context.Context, address string) (*Conn, error) {
-	conn, err := d.dialer.DialContext(ctx, "tcp", address)
+	conn, err := d.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("exchange: connect: %w", err)
 	}
+	return NewConn(ctx, conn), nil
+}
+
+// Dial opens a TCP connection that does not depend on ctx once it is open.
+func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	return d.dial(ctx, "tcp", address)
+}
+
+// NewConn returns a Conn for one request on an open connection, which is closed when ctx
+// is done.
+func NewConn(ctx context.Context, conn net.Conn) *Conn {
 	c := &Conn{conn: conn}
 	c.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	return c, nil
+	return c
 }
 
 // Close closes the connection.
