internal/relay, internal/entryvm, internal/ingress: VMs without links to upstreams reach them through other VMs

At a VM that had lost its links to the upstreams every request was refused (503 after four connections that failed), while other VMs, a millisecond away, served nearly all of theirs.

Cause: a VM's own connection was the only way to an upstream.

Change: after the second failed connection to an upstream in a row, or to a second upstream of its service without a success in between, the VM asks another one to open the connection (internal/relay). All decisions stay where the request is: the other VM opens the connection, to upstreams on its own list only, and copies bytes in frames, so that its end does not look like the end of a response. An end of that VM speaks against neither the upstream nor the request. What the response says of the upstream (leaving, wants nothing) it notes as its own. The better of two random VMs that are not cut off is asked first. Own links are probed, three in half a second each at the most, and used again as soon as one opens.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -140,6 +140,8 @@
 	LinkMbps int `json:"link_mbps,omitempty" cbor:"29,keyasint,omitempty"`
 	// Ejections holds the upstreams whose responses to this VM have broken lately.
 	Ejections []health.EjectionReport `json:"ejections,omitempty" cbor:"30,keyasint,omitempty"`
+	// CutOff is set while the VM reaches the upstreams of a service only through others.
+	CutOff bool `json:"cut_off,omitempty" cbor:"31,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/relay"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
@@ -70,7 +71,7 @@
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
 		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
-		UpstreamsLeaving: v.drains.Reports(now), LinkMbps: int(v.settings.LinkMbps), Ejections: v.ejections.Reports(now),
+		UpstreamsLeaving: v.drains.Reports(now), LinkMbps: int(v.settings.LinkMbps), Ejections: v.ejections.Reports(now), CutOff: v.paths.CutOff(),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -281,6 +282,7 @@
 	mux.HandleFunc("GET /v1/collections/"+retainedCollection, func(w http.ResponseWriter, r *http.Request) {
 		retainedPages.Serve(w, r, v.retainedPage)
 	})
+	mux.HandleFunc("GET "+relay.Path, v.serveRelay)
 	mux.HandleFunc("POST "+permitsPath, v.servePermits)
 	mux.HandleFunc("POST "+streamsPath, v.serveStreams)
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.dump(v.opts.Now())) })
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -50,6 +50,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/relay"
 	"github.com/hibiscuscove/hibiscuscove/internal/retry"
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -114,6 +115,9 @@
 	drains                *health.Drains
 	backoffs              *health.Backoffs
 	ejections             *health.Ejections
+	paths                 *relay.Paths
+	connector             *relay.Connector
+	relayServer           *relay.Server
 	leaseStore            platform.LeaseStore
 	elector               *rollout.Elector
 	rollout               *rollout.Rollout
@@ -168,6 +172,7 @@
 		drains:        health.NewDrains(milliseconds(s.DrainMS) - drainNoticeMargin),
 		backoffs:      health.NewBackoffs(s.Name),
 		ejections:     health.NewEjections(s.Name),
+		paths:         relay.NewPaths(),
 		metrics:       metrics.NewRegistry(),
 		peerClient:    newPeerClient(),
 		fetching:      make(map[string]bool),
@@ -188,6 +193,7 @@
 	v.buildRollout()
 	v.buildLimits()
 	v.buildStreams()
+	v.buildRelay()
 	events := platform.NewCacheEvents()
 	events.Leaving = v.recordLeaving
 	v.cacheFollower = cacheevents.New(cacheevents.Options{
@@ -265,7 +271,7 @@
 		Codec:         platform.Codec{},
 		Configuration: v.configuration,
 		Upstreams:     v.upstreams,
-		Dialer:        v.dialer,
+		Connect:       v.connector.Connect,
 		Bodies:        readlimit.NewPool(maxResponseBytes),
 		RetryBudget:   retryBudget,
 		CrashTracker:  v.crashTracker,
@@ -390,7 +396,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.streams.Run,
+		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.probeLostLinks, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.streams.Run,
 	} {
 		wg.Go(func() { task(taskCtx) })
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/leg"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
+	"github.com/hibiscuscove/hibiscuscove/internal/relay"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
@@ -131,11 +132,22 @@
 		j.recordBroken(now, l, "panic", err)
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the router failed").WithCause(err)
 	}
+	if errors.Is(err, relay.ErrLost) {
+		j.recordLost(now, l, err)
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the way to the upstream broke off").WithCause(err)
+	}
 	j.recordBroken(now, l, reasonCut, err)
 	j.h.opts.Fleet.ReportSuspect(now, j.Fingerprint, l.Upstream)
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, codeBroken, "the upstream broke off").WithObject("upstream/"+l.Upstream.ID, "").WithCause(err)
 }
 
+// recordLost records an attempt whose way to the upstream has ended amid it, which speaks
+// against neither the upstream nor the request.
+func (j *job) recordLost(now time.Time, l *leg.Leg, err error) {
+	j.h.incCounter("attempts_broken.lost")
+	j.logEvent(now).Str("upstream", l.Upstream.ID).Bool("begun", l.Begun).AnErr("cause", err).Msg("way to the upstream lost")
+}
+
 // recordBroken records an attempt without a complete response. reason is
 // reasonCut, deadline, stopping, panic or caller_gone: an upstream that crashes may do so in silence.
 func (j *job) recordBroken(now time.Time, l *leg.Leg, reason string, err error) {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -15,6 +15,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -57,7 +58,9 @@
 	Codec         message.Codec
 	Configuration *routing.Holder
 	Upstreams     *roster.Table
-	Dialer        *exchange.Dialer
+	// Connect opens a connection to an upstream for the request with an ID. An error means
+	// that nothing was sent.
+	Connect func(ctx context.Context, u roster.Upstream, requestID string) (*exchange.Conn, error)
 	// Bodies buffers the responses that are forwarded whole.
 	Bodies       *readlimit.Pool
 	RetryBudget  *retry.Budget
@@ -115,6 +118,12 @@
 	return &Handler{opts: opts, selector: selector, stopping: make(chan struct{})}
 }
 
+// ObserveAvailability records what a response says about the availability of its upstream.
+// It is for responses to other VMs' requests that this one passes on.
+func (h *Handler) ObserveAvailability(u roster.Upstream, status int, head message.ResponseHead) {
+	h.observeAvailability(u, status, head)
+}
+
 // RecordLeaving records that an upstream has announced that it leaves.
 func (h *Handler) RecordLeaving(now time.Time, u roster.Upstream) { h.selector.RecordLeaving(now, u) }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -362,7 +362,7 @@
 	u := choice.Upstream
 	j.attempted = append(j.attempted, u.ID)
 	ctx, cancel := context.WithCancel(ctx)
-	conn, err := j.h.opts.Dialer.Connect(ctx, u.Address)
+	conn, err := j.h.opts.Connect(ctx, u, j.Head.ID)
 	beside := len(j.legs) > 0
 	if err != nil {
 		if beside {
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+)
+
+const (
+	// maxTunnels limits the connections for other VMs, each with the buffers of two
+	// directions.
+	maxTunnels = 256
+	// maxObservedBytes limits the head of a response that is looked at.
+	maxObservedBytes = 8 << 10
+	copyBufferBytes  = 8 << 10
+	// closeTimeout is how long the other VM may take to close after the end.
+	closeTimeout = 5 * time.Second
+)
+
+// ServerOptions configures a Server. All fields but Log are required.
+type ServerOptions struct {
+	// Direct opens this VM's own connections to upstreams.
+	Direct *exchange.Dialer
+	// Upstream returns an upstream that this VM would send requests to itself.
+	Upstream func(id, incarnation string) (roster.Upstream, bool)
+	// Observe is called with the head of a response to the request with an ID. The
+	// upstream counts the requests of other VMs as this one's.
+	Observe func(u roster.Upstream, requestID string, resp exchange.Response)
+	Metrics metrics.Registry
+	Log     zerolog.Logger
+}
+
+// Server opens connections to upstreams for other VMs. It is an http.Handler.
+type Server struct {
+	opts    ServerOptions
+	tunnels atomic.Int64
+}
+
+// NewServer returns a Server.
+func NewServer(opts ServerOptions) *Server { return &Server{opts: opts} }
+
+// Tunnels returns the number of open connections for other VMs.
+func (s *Server) Tunnels() int64 { return s.tunnels.Load() }
+
+// ServeHTTP implements http.Handler. It answers 502 if the upstream can't be reached, and
+// 503 if this VM does not take the connection.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	u, found := s.opts.Upstream(query.Get("upstream"), query.Get("incarnation"))
+	defer s.tunnels.Add(-1)
+	if s.tunnels.Add(1) > maxTunnels || !found || r.Header.Get("Upgrade") != protocol {
+		s.count("refused")
+		http.Error(w, "not taken", http.StatusServiceUnavailable)
+		return
+	}
+	upstream, err := s.opts.Direct.Dial(r.Context(), u.Address)
+	if err != nil {
+		s.count("unreachable")
+		http.Error(w, "upstream unreachable", http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = upstream.Close() }()
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "can't switch protocols", http.StatusInternalServerError)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
+		return
+	}
+	s.count("served")
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		copyRequest(upstream, conn, buffered.Reader)
+	}()
+	observer := &headObserver{observe: func(resp exchange.Response) { s.opts.Observe(u, query.Get("request"), resp) }}
+	_ = writeFrames(conn, upstream, observer.add) // fails if the other VM has closed
+	// Closing before the whole request has been read would reset what was written.
+	select {
+	case <-copied:
+	case <-time.After(closeTimeout):
+	}
+}
+
+// copyRequest copies what the other VM sends until it closes, and closes both sides then.
+func copyRequest(upstream, conn net.Conn, buffered *bufio.Reader) {
+	defer func() { _ = upstream.Close() }()
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := buffered.Read(buffer)
+		if n > 0 {
+			if _, writeErr := upstream.Write(buffer[:n]); writeErr != nil {
+				// The upstream may have responded all the same: read until it ends.
+				_, _ = io.Copy(io.Discard, buffered)
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	_ = conn.Close()
+}
+
+// headObserver passes on the head of a response once it is complete.
+type headObserver struct {
+	observe func(resp exchange.Response)
+	head    []byte
+	done    bool
+}
+
+func (o *headObserver) add(part []byte) {
+	if o.done {
+		return
+	}
+	o.head = append(o.head, part[:min(len(part), maxObservedBytes-len(o.head))]...)
+	if !bytes.Contains(o.head, []byte("\r\n\r\n")) && len(o.head) < maxObservedBytes {
+		return
+	}
+	o.done = true
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(o.head)), nil)
+	o.head = nil
+	if err == nil {
+		o.observe(exchange.Response{Status: resp.StatusCode, Header: resp.Header})
+	}
+}
+
+func (s *Server) count(what string) {
+	metrics.GetOrRegisterCounter("relay."+what, s.opts.Metrics).Inc(1)
+}
