internal/entryvm: look-ups leave out VMs that are cut off from upstreams

VMs tell in their beacons that they reach a service's upstreams only through others, and look-ups leave them out while at least two VMs, and a third of all, have links of their own. They stay ready, and serve those who come all the same.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -59,6 +59,9 @@
 	// minLocalVMs is the minimum number of serving VMs in a caller's data centre for
 	// the caller to get only addresses of that data centre.
 	minLocalVMs = 2
+	// minConnectedPart is the inverse of the least part of the VMs that may have to serve
+	// all callers.
+	minConnectedPart = 3
 )
 
 // composeBeacon returns this VM's next beacon. The beacon package fills in
@@ -398,28 +401,54 @@
 }
 
 // findVMs returns the addresses of VMs that callers from a data centre should use,
-// and how long callers may cache them. It returns the serving VMs of that data
-// centre if there are at least minLocalVMs, else all serving VMs.
+// and how long callers may cache them: those of that data centre if there are at least
+// minLocalVMs, else all. VMs that reach upstreams only through others are left out unless
+// too few remain.
 func (v *VM) findVMs(now time.Time, dataCentre string) ([]string, time.Duration) {
-	var local, all []string
-	add := func(address, vmDataCentre string) {
-		all = append(all, address)
-		if vmDataCentre == dataCentre {
-			local = append(local, address)
-		}
-	}
+	var candidates []Candidate
 	if v.ready() {
-		add(v.settings.CallersListen, v.settings.DataCentre)
+		candidates = append(candidates, Candidate{v.settings.CallersListen, v.settings.DataCentre, v.paths.CutOff()})
 	}
 	for _, p := range v.beacon.Alive(now) {
 		if p.State == beacon.Serving {
-			add(p.Callers, p.DataCentre)
+			candidates = append(candidates, Candidate{p.Callers, p.DataCentre, p.CutOff})
+		}
+	}
+	list := SelectVMs(candidates, dataCentre)
+	return list[:min(maxAddresses, len(list))], milliseconds(v.settings.EntryTTLMS)
+}
+
+// Candidate is a serving VM that callers may use.
+type Candidate struct {
+	Callers, DataCentre string
+	// CutOff is set if it reaches upstreams only through other VMs.
+	CutOff bool
+}
+
+// SelectVMs returns the addresses for callers of the VMs that those in a data centre
+// should use. VMs that are cut off still serve, so that the others are named alone only if
+// they are at least a third of all.
+func SelectVMs(candidates []Candidate, dataCentre string) []string {
+	var connected []Candidate
+	for _, c := range candidates {
+		if !c.CutOff {
+			connected = append(connected, c)
+		}
+	}
+	if len(connected) >= minLocalVMs && minConnectedPart*len(connected) >= len(candidates) {
+		candidates = connected
+	}
+	var local, all []string
+	for _, c := range candidates {
+		all = append(all, c.Callers)
+		if c.DataCentre == dataCentre {
+			local = append(local, c.Callers)
 		}
 	}
 	if len(local) >= minLocalVMs {
-		all = local
+		return local
 	}
-	return all[:min(maxAddresses, len(all))], milliseconds(v.settings.EntryTTLMS)
+	return all
 }
 
 // rank returns this VM's rank in the order in which VMs try to take the rollout
