internal/rollout: a VM that is cut off from the engines leaves the lease

Orders must come from one VM and are not relayed; it releases the lease once nothing is under way and does not take it while it is cut off.

--- a/internal/entryvm/relay.go
+++ b/internal/entryvm/relay.go
@@ -37,6 +37,11 @@
 	return n
 }
 
+// cutOffFromEngines reports whether this VM reaches no engine by itself, while others do.
+func (v *VM) cutOffFromEngines() bool {
+	return v.paths.CutOffFrom(func(u roster.Upstream) bool { return u.Model != "" })
+}
+
 // helpers returns the VMs through which connections to upstreams may go.
 func (v *VM) helpers() []relay.Helper {
 	var list []relay.Helper
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -255,7 +255,7 @@
 	})
 	v.rollout = rollout.New(rollout.Options{
 		Elector: v.elector, Engines: platform.Engines{Dialer: v.dialer, Leaving: v.recordLeaving}, Upstreams: v.upstreams,
-		Clock: clock, Holder: v.settings.Name, Rank: v.rank, Log: v.log,
+		Clock: clock, Holder: v.settings.Name, Rank: v.rank, CutOff: v.cutOffFromEngines, Log: v.log,
 		OnChanged: func(took time.Duration) {
 			metrics.GetOrRegisterHistogram("engine_change_ms", v.metrics, metrics.NewUniformSample(histogramSamples)).Update(took.Milliseconds())
 		},
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -110,11 +110,14 @@
 
 // CutOff reports whether there is a service of which this VM reaches no upstream by itself,
 // while other VMs do.
-func (p *Paths) CutOff() bool {
+func (p *Paths) CutOff() bool { return p.CutOffFrom(func(roster.Upstream) bool { return true }) }
+
+// CutOffFrom is CutOff for some upstreams only.
+func (p *Paths) CutOffFrom(included func(u roster.Upstream) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.links {
-		if l.relayed && l.relayedSince.After(p.reachedAt[l.upstream.Service]) {
+		if included(l.upstream) && l.relayed && l.relayedSince.After(p.reachedAt[l.upstream.Service]) {
 			return true
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -71,7 +71,7 @@
 	LoadWeights(ctx context.Context, o Order) error
 }
 
-// Options sets up a Rollout. All but Log are required.
+// Options sets up a Rollout. All but CutOff and Log are required.
 type Options struct {
 	Elector   *Elector
 	Engines   Engines
@@ -81,6 +81,9 @@
 	// Rank returns this VM's position in the order in which VMs try to take the
 	// lease, 0 for the first.
 	Rank func(now time.Time) int
+	// CutOff, if it is set, reports whether this VM does not reach the engines while other
+	// VMs do: then one of those is to change their weights.
+	CutOff func() bool
 	// OnChanged is called after each successful change, with the time from the
 	// selection of the engine until its new weights were reported. While this VM
 	// stops, the time ends with its last call to the engine.
@@ -226,7 +229,7 @@
 	now := r.opts.Clock.Now()
 	outdated := r.outdated()
 	r.recordOutdated(now, len(outdated))
-	if len(outdated) == 0 {
+	if len(outdated) == 0 || r.opts.CutOff != nil && r.opts.CutOff() {
 		if r.idle() {
 			if err := r.opts.Elector.Release(ctx); err != nil {
 				r.opts.Log.Warn().Err(err).Msg("lease not released")
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	table   *roster.Table
 	engines *fakeEngines
 	rollout *rollout.Rollout
+	elector *rollout.Elector
+	// cutOff is set while the VM does not reach the engines, and others do.
+	cutOff atomic.Bool
 }
 
 // newTestVM returns a VM with n engines that have version 1.
@@ -43,11 +47,29 @@
 	})
 	vm.rollout = rollout.New(rollout.Options{
 		Elector: elector, Engines: vm.engines, Upstreams: vm.table, Clock: clock, Holder: "a", Rank: func(time.Time) int { return 0 },
-		OnChanged: func(time.Duration) {},
+		OnChanged: func(time.Duration) {}, CutOff: vm.cutOff.Load,
 	})
+	vm.elector = elector
 	return vm
 }
 
+// Guards against weights that nobody changes, because the VM that holds the lease does not
+// reach the engines, or takes the lease again and again.
+func TestVMThatIsCutOffLeavesTheLease(t *testing.T) {
+	const settled = 500 * time.Millisecond
+	vm := newTestVM(4)
+	vm.table.SetDesired(time.Now(), "m", 2)
+	vm.cutOff.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), settled)
+	defer cancel()
+	vm.rollout.Run(ctx)
+	if diff := cmp.Diff([]any{0, false}, []any{len(vm.engines.receivedOrders()), vm.elector.Holds(time.Now())}); diff != "" {
+		t.Errorf("orders and lease of a VM that is cut off (-want +got):\n%s", diff)
+	}
+	vm.cutOff.Store(false)
+	vm.runUntil(t, 2)
+}
+
 // runUntil runs the VM until all engines have the version.
 func (vm *testVM) runUntil(t *testing.T, version int64) {
 	t.Helper()
