internal/health, internal/selection: brittle upstreams get no more than they have room for

Change: a VM sends a brittle upstream no more requests at once than its share of the slots; the shares of all VMs add up to the slots. Requests wait at the VM for half of their target, then they are refused as not run with a time to come back. What an upstream says counts for those of its service that have not responded yet, so that one that is back does not meet the same crowd.

Not shared in beacons: a VM learns it from its own first response.

--- a/internal/entryvm/availability.go
+++ b/internal/entryvm/availability.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// peerNames returns the names of the other VMs that serve.
+func (v *VM) peerNames() []string {
+	var names []string
+	for _, p := range v.beacon.Alive(v.opts.Now()) {
+		if p.State == beacon.Serving {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
 // maintainAvailability forgets what is known of upstreams that are gone.
 func (v *VM) maintainAvailability(now time.Time) {
 	listed, services := make(map[string]bool), make(map[string]string)
@@ -45,6 +56,8 @@
 	v.drains.Retain(now, listed)
 	v.backoffs.Retain(now, listed)
 	v.ejections.Retain(now, services)
+	v.brittle.Retain(listed)
+	metrics.GetOrRegisterGauge("upstreams_brittle", v.metrics).Update(int64(len(v.brittle.Numbers())))
 	metrics.GetOrRegisterGauge("upstreams_leaving", v.metrics).Update(int64(len(v.drains.Ages(now))))
 	metrics.GetOrRegisterGauge("upstreams_backing_off", v.metrics).Update(int64(len(v.backoffs.Remaining(now))))
 	metrics.GetOrRegisterGauge("upstreams_ejected", v.metrics).Update(int64(len(v.ejections.Ages(now))))
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -115,6 +115,7 @@
 	drains                *health.Drains
 	backoffs              *health.Backoffs
 	ejections             *health.Ejections
+	brittle               *health.Brittle
 	paths                 *relay.Paths
 	connector             *relay.Connector
 	relayServer           *relay.Server
@@ -186,6 +187,7 @@
 	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: costmodel.Policy{
 		Rule: costmodel.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
+	v.brittle = health.NewBrittle(s.Name, v.peerNames)
 	if err := v.buildBeacon(); err != nil {
 		return nil, err
 	}
@@ -279,6 +281,7 @@
 		Drains:        v.drains,
 		Backoffs:      v.backoffs,
 		Ejections:     v.ejections,
+		Brittle:       v.brittle,
 		Fleet:         v,
 		Streams:       countedStreams{v},
 		Metrics:       v.metrics,
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -69,6 +69,7 @@
 	Drains       *health.Drains
 	Backoffs     *health.Backoffs
 	Ejections    *health.Ejections
+	Brittle      *health.Brittle
 	Fleet        Fleet
 	// Streams may be nil: then a stream goes on at any build.
 	Streams lineage.Streams
@@ -113,7 +114,7 @@
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
 	selector := selection.New(selection.Options{
-		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Ejections: opts.Ejections, Metrics: opts.Metrics, Log: opts.Log,
+		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Ejections: opts.Ejections, Brittle: opts.Brittle, Metrics: opts.Metrics, Log: opts.Log,
 	})
 	return &Handler{opts: opts, selector: selector, stopping: make(chan struct{})}
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
 	"github.com/hibiscuscove/hibiscuscove/internal/selection"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
 const (
@@ -31,6 +33,8 @@
 	// silenceRecheckInterval is the time between two checks of a silent upstream whose
 	// request could not be sent elsewhere as well.
 	silenceRecheckInterval = 200 * time.Millisecond
+	// roomCheckInterval is the time between two looks for room at brittle upstreams.
+	roomCheckInterval = 5 * time.Millisecond
 	// maxKeptFailure limits the body of a failure that is kept while another upstream
 	// is tried.
 	maxKeptFailure = 16 << 10
@@ -242,7 +246,7 @@
 		return hedge.Caller
 	case codeStopping:
 		return hedge.Stopping
-	case selection.CodeNoUpstream, selection.CodeBusy, selection.CodeLimited, selection.CodeLeaving, selection.CodeBackingOff:
+	case selection.CodeNoUpstream, selection.CodeBusy, selection.CodeLimited, selection.CodeLeaving, selection.CodeBackingOff, selection.CodeNoRoom:
 		return hedge.NoUpstream
 	case codeUnreachable:
 		if j.notSent >= maxConnectAttempts {
@@ -344,6 +348,25 @@
 	if j.h.isStopping() {
 		return stoppingError()
 	}
+	err := j.chooseAndSend(ctx)
+	for waitUntil := j.StartedAt.Add(j.Route.TargetLatency / 2); hasCode(err, selection.CodeNoRoom) && j.h.opts.Now().Before(waitUntil); {
+		wait.For(ctx, roomCheckInterval)
+		if err := j.checkUnsent(); err != nil {
+			return err
+		}
+		err = j.chooseAndSend(ctx)
+	}
+	return err
+}
+
+// hasCode reports whether an error is one of the router with a code.
+func hasCode(err error, code string) bool {
+	var e *verdict.Error
+	return errors.As(err, &e) && e.Code == code
+}
+
+// chooseAndSend sends the request to the best upstream.
+func (j *job) chooseAndSend(ctx context.Context) error {
 	now := j.h.opts.Now()
 	query := j.upstreamQuery()
 	choice, err := j.h.selector.Choose(ctx, now, j.selectionRequest(query))
@@ -351,6 +374,9 @@
 		return err
 	}
 	if err := j.send(ctx, now, choice, query); err != nil {
+		if hasCode(err, selection.CodeNoRoom) {
+			return err
+		}
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeUnreachable, "the upstream can't be reached").WithCause(err)
 	}
 	return nil
@@ -360,8 +386,16 @@
 // error means that nothing was sent.
 func (j *job) send(ctx context.Context, pickedAt time.Time, choice roster.Choice, query roster.Query) error {
 	u := choice.Upstream
+	release, err := j.h.selector.AcquireRoom(pickedAt, u)
+	if err != nil {
+		return err
+	}
 	j.attempted = append(j.attempted, u.ID)
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelContext := context.WithCancel(ctx)
+	cancel := func() {
+		cancelContext()
+		release()
+	}
 	conn, err := j.h.opts.Connect(ctx, u, j.Head.ID)
 	beside := len(j.legs) > 0
 	if err != nil {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -131,6 +131,11 @@
 	// is 503, or 0. RetryAfterProblem is not empty if it names one that can't be decoded.
 	RetryAfter        time.Duration
 	RetryAfterProblem string
+	// Brittle is the number of requests per second that the upstream can turn away, from
+	// all VMs together, before it falls over, or 0 if it does not say so. BrittleProblem is
+	// not empty if it names one that can't be decoded.
+	Brittle        float64
+	BrittleProblem string
 	// InstanceID is the ID of the instance that responds, or empty.
 	InstanceID string
 	// EventStream is set if the body is a stream of server-sent events.
--- a/internal/selection/availability.go
+++ b/internal/selection/availability.go
@@ -35,6 +35,7 @@
 		return
 	}
 	s.observeLeaving(now, u, head)
+	s.observeBrittle(now, u, head)
 	if status == http.StatusServiceUnavailable {
 		s.observeBackoff(now, u, head)
 	}
@@ -98,12 +99,13 @@
 // leaves. Those that leave are picked only while no other one of the service is healthy.
 // The cached prompt parts of all may be fetched.
 func (s *Selector) pickAvailable(now time.Time, query roster.Query) (roster.Choice, bool) {
-	if !s.opts.Drains.Any() && !s.opts.Backoffs.Any(now) {
+	if !s.opts.Drains.Any() && !s.opts.Backoffs.Any(now) && !s.opts.Brittle.Any() {
 		return s.opts.Upstreams.Pick(now, query)
 	}
 	allow := query.Allow
 	allowed := func(u roster.Upstream) bool {
-		return (allow == nil || allow(u)) && s.opts.Backoffs.Available(now, u.Incarnation())
+		return (allow == nil || allow(u)) && s.opts.Backoffs.Available(now, u.Incarnation()) &&
+			s.opts.Brittle.HasRoom(now, placeOf(u))
 	}
 	staying := func(u roster.Upstream) bool { return !s.opts.Drains.Leaving(u.Incarnation()) }
 	query.Allow = func(u roster.Upstream) bool { return staying(u) && allowed(u) }
@@ -146,6 +148,9 @@
 			WithRetryAfter(retryAfter)
 	}
 	for _, u := range s.opts.Upstreams.All() {
+		if u.Service == service && s.opts.Brittle.InService(service) {
+			return s.noRoomError(u)
+		}
 		if u.Service == service && s.opts.Drains.Leaving(u.Incarnation()) {
 			return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeLeaving, "the upstreams of the service leave").
 				WithObject("upstream/"+u.ID, "").WithRetryAfter(admission.RetryAfter(leavingRetryAfter, 0, rand.Int64N))
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -37,6 +37,8 @@
 	CodeLimited = "upstream_limited"
 	// CodeLeaving is the code of a request whose upstreams have all left.
 	CodeLeaving = "upstreams_leaving"
+	// CodeNoRoom is the code of a request whose upstreams are brittle and may have no room.
+	CodeNoRoom = "upstreams_full"
 	// CodeBackingOff is the code of a request for which all upstreams are backed off from.
 	CodeBackingOff = "upstreams_backing_off"
 )
@@ -48,6 +50,7 @@
 	Drains    *health.Drains
 	Backoffs  *health.Backoffs
 	Ejections *health.Ejections
+	Brittle   *health.Brittle
 	Metrics   metrics.Registry
 	Log       zerolog.Logger
 }
