internal/entryvm, internal/registry: changes reach large fleets in time, shown in virtual time

CONFIG: what a fleet needs from the store's return until the last VM has a change, in virtual time: watches, beacons, downloads, the choice of who watches. After a failed call a watch has the whole margin of 0.7 s in all fleets, so that a store that is slow is not taken for one that is away. The fake store of TestOutageDelaysNoChange is standin.SilentStore, for both tests; the bound is as it was.

--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -77,13 +77,16 @@
 // largeFleetSilence is maxStoreSilence in a large fleet: when the connections of the few
 // VMs that watch fall silent, the others still need the time to notice that, to watch
 // instead, and to pass on what they learn.
-const largeFleetSilence = 1200 * time.Millisecond
+const largeFleetSilence = 1100 * time.Millisecond
 
-// maxStoreSilence returns within what time this VM notices that the store's answers no
-// longer arrive.
 func (v *VM) maxStoreSilence() time.Duration {
-	contact := milliseconds(v.settings.ContactMS)
-	if len(v.beacon.Alive(v.opts.Now()))+1 <= roster.MaxFullViewVMs {
+	return MaxStoreSilence(milliseconds(v.settings.ContactMS), len(v.beacon.Alive(v.opts.Now()))+1)
+}
+
+// MaxStoreSilence returns within what time a VM of a fleet notices that the store's answers
+// no longer arrive. contact is the time after which it must have what it missed.
+func MaxStoreSilence(contact time.Duration, vms int) time.Duration {
+	if vms <= roster.MaxFullViewVMs {
 		return contact
 	}
 	return min(contact, largeFleetSilence)
--- a/internal/registry/outage_test.go
+++ b/internal/registry/outage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,95 +11,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 )
 
 // contact is the time after an outage of the store from which on VMs must have every
 // change that was confirmed early enough.
 const contact = 3 * time.Second
 
-var errNoAnswer = errors.New("no answer")
-
-// silentStore is a store that answers nothing from silentAt to backAt. What is under way
-// at silentAt or sent until backAt is lost: its connection never brings an answer.
-type silentStore struct {
-	silentAt, backAt time.Time
-	// writes holds when each revision was written, the first is revision 1.
-	writes []time.Time
-}
-
-// responseTime is that of a store at rest, callTimeout and watchMargin are how long its
-// client waits for a list, and for a watch beyond its wait.
-const (
-	responseTime = 4 * time.Millisecond
-	callTimeout  = 1500 * time.Millisecond
-	watchMargin  = 700 * time.Millisecond
-)
-
-func (s *silentStore) revision() uint64 {
-	n := uint64(0)
-	for _, at := range s.writes {
-		if !at.After(time.Now()) {
-			n++
-		}
-	}
-	return n
-}
-
-// wait returns after d, or with an error after timeout if the store falls silent before.
-func (s *silentStore) wait(ctx context.Context, d, timeout time.Duration) error {
-	sent := time.Now()
-	answered := sent.Add(d)
-	lost := sent.Before(s.backAt) && !answered.Before(s.silentAt)
-	if lost {
-		d = timeout
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	if lost {
-		return errNoAnswer
-	}
-	return nil
-}
-
-func (s *silentStore) page(since uint64) page {
-	n := s.revision()
-	p := page{Revision: n, Since: since}
-	if n > since {
-		p.Items = []item{{Name: "main", Revision: n}}
-	}
-	return p
-}
-
-func (s *silentStore) List(ctx context.Context) (page, error) {
-	if err := s.wait(ctx, responseTime, callTimeout); err != nil {
-		return page{}, err
-	}
-	return s.page(0), nil
-}
-
-func (s *silentStore) Watch(ctx context.Context, after uint64, wait time.Duration) (page, error) {
-	timeout := wait + watchMargin
-	if s.revision() <= after {
-		next := time.Now().Add(wait)
-		for _, at := range s.writes[after:] {
-			if at.Before(next) {
-				next = at
-				break
-			}
-		}
-		wait = time.Until(next)
-	} else {
-		wait = 0
-	}
-	if err := s.wait(ctx, wait+responseTime, timeout); err != nil {
-		return page{}, err
-	}
-	return s.page(after), nil
-}
-
 // Guards against a change that is confirmed right after an outage of the store and not in
 // force in time, because the VM waits for the answer to a call that the outage has lost.
 // An outage of no length loses what is under way, as connections that fall silent do.
@@ -113,11 +30,13 @@
 			for phase := range phases {
 				synctest.Test(t, func(t *testing.T) {
 					started := time.Now()
-					store := &silentStore{silentAt: started.Add(10*time.Second + time.Duration(phase)*4500*time.Millisecond/phases)}
-					store.backAt = store.silentAt.Add(outage)
-					store.writes = []time.Time{started}
+					silentAt := started.Add(10*time.Second + time.Duration(phase)*4500*time.Millisecond/phases)
+					backAt := silentAt.Add(outage)
+					store := &standin.SilentStore{Now: time.Now}
+					store.Silence(silentAt, backAt)
+					store.Writes = []time.Time{started}
 					for i := range 5 { // overdue changes, one after the other
-						store.writes = append(store.writes, store.backAt.Add(time.Duration(i)*43*time.Millisecond))
+						store.Writes = append(store.Writes, backAt.Add(time.Duration(i)*43*time.Millisecond))
 					}
 					f := registry.NewFollower(registry.Options[string]{
 						Name: "test", Feed: store, Sink: &fakeSink{}, Now: time.Now, ShouldWatch: func(time.Time) bool { return true }, Log: zerolog.Nop(),
@@ -126,11 +45,11 @@
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
 					go f.Run(ctx)
-					time.Sleep(time.Until(store.backAt))
-					for f.Revision() < uint64(len(store.writes)) && time.Since(store.backAt) < time.Minute {
+					time.Sleep(time.Until(backAt))
+					for f.Revision() < uint64(len(store.Writes)) && time.Since(backAt) < time.Minute {
 						time.Sleep(10 * time.Millisecond)
 					}
-					delay := time.Since(store.backAt)
+					delay := time.Since(backAt)
 					longest = max(longest, delay)
 					if delay > contact {
 						late++
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -334,7 +334,8 @@
 	margin := min(maxWatchMargin, maxSilence/4)
 	longest := max(outageWait, maxSilence-margin-retryRoom)
 	if !f.Healthy() {
-		longest = outageWait
+		// The store may be slow rather than away.
+		longest, margin = outageWait, maxWatchMargin
 	}
 	wait := longest - rand.N(longest/4)
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
