internal/beacon: VMs that start together find one another

Cause: a VM that starts knows three seeds and what the store's list, which may be seconds old, had at that moment; the next list is read 15 s later, and beacons named four peers in every fifth one. When all VMs start at once the seeds get the beacons of all, and drop most.

Change: beacons tell how many VMs their sender knows; one that knows far fewer gets up to 48 addresses. Addresses from which nothing has been heard get fewer beacons, a round goes to far VMs as well while few near ones are known, and VMs that peers name count as known.

Builds before this one tell no number and are sent nothing; they ignore such a list, which has no name.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -130,8 +130,8 @@
 	IssuesPermits bool `json:"issues_permits,omitempty" cbor:"25,keyasint,omitempty"`
 	// Streams holds which builds began streams.
 	Streams []lineage.Fact `json:"streams,omitempty" cbor:"26,keyasint,omitempty"`
-	// FactsFrom is the sender of a message that carries only Streams and is not the
-	// sender's state; otherwise it is empty. Name is not sent then, so that builds
+	// FactsFrom is the sender of a message that carries only Streams or Peers and is not
+	// the sender's state; otherwise it is empty. Name is not sent then, so that builds
 	// that do not know such messages ignore them.
 	FactsFrom string `json:"facts_from,omitempty" cbor:"27,keyasint,omitempty"`
 	// UpstreamsLeaving holds the upstreams that have announced to any VM that they leave.
@@ -142,6 +142,9 @@
 	Ejections []health.EjectionReport `json:"ejections,omitempty" cbor:"30,keyasint,omitempty"`
 	// CutOff is set while the VM reaches the upstreams of a service only through others.
 	CutOff bool `json:"cut_off,omitempty" cbor:"31,keyasint,omitempty"`
+	// Known is the number of VMs that the sender knows, itself included. It is 0 from a
+	// VM of an older build.
+	Known int `json:"known,omitempty" cbor:"32,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
@@ -167,6 +170,18 @@
 	maxPeersListed = 4
 	// Every peersEvery-th beacon lists peers.
 	peersEvery = 5
+	// maxAddressesSent is the maximum number of addresses in one answer to a VM that knows
+	// few others, and maxAddressAnswers that of such answers in one interval.
+	maxAddressesSent = 48
+	// An address from which no beacon has been received gets the first unheardFirstRounds
+	// rounds and then every unheardEvery-th one, or every unheardRarely-th one if peers have
+	// named others: when all VMs start at once, all of them know the same few addresses.
+	unheardFirstRounds = 2
+	unheardEvery       = 4
+	unheardRarely      = 16
+	maxAddressAnswers  = 64
+	// knownPart is the inverse of the part of the VMs that a VM may lack without being told.
+	knownPart = 20
 	// maxAddresses limits the known addresses, and the peers.
 	maxAddresses = 2048
 )
@@ -191,17 +206,28 @@
 type Beacon struct {
 	opts Options
 
-	mu       sync.Mutex
-	self     string
-	sequence uint64
-	peers    map[string]*Peer
-	// addresses holds when a beacon from each address was last received, or when
-	// the address was added.
-	addresses map[string]time.Time
+	mu        sync.Mutex
+	self      string
+	sequence  uint64
+	peers     map[string]*Peer
+	addresses map[string]*addressState
 	// near holds the addresses in this VM's data centre.
 	near       map[string]bool
 	dataCentre string
 	roundRobin RoundRobin[netip.AddrPort]
+	// answers is the number of address lists sent since the last beacon.
+	answers int
+}
+
+// addressState is what is known of an address at which a VM may run.
+type addressState struct {
+	// seen is when a beacon from it was last received, or when it was added.
+	seen time.Time
+	// heard is set if a beacon from it has been received, and vouched if a peer has named
+	// it, which peers do with those that they hear.
+	heard, vouched bool
+	// unheardRounds is the number of rounds before the first beacon from it.
+	unheardRounds int
 }
 
 // New returns a Beacon.
@@ -209,7 +235,7 @@
 	if opts.Interval <= 0 {
 		opts.Interval = defaultInterval
 	}
-	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]time.Time), near: make(map[string]bool)}
+	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]*addressState), near: make(map[string]bool)}
 }
 
 // Add adds an IP address with a port at which a VM may run. Invalid addresses are
@@ -220,12 +246,26 @@
 	b.add(now, address)
 }
 
-func (b *Beacon) add(now time.Time, address string) {
+// add adds an address, unless it can't be used, and returns what is known of it. The caller
+// holds the lock.
+func (b *Beacon) add(now time.Time, address string) (state *addressState, usable bool) {
+	if state, usable = b.addresses[address]; usable {
+		return state, true
+	}
 	if _, err := netip.ParseAddrPort(address); err != nil || address == b.self || len(b.addresses) >= maxAddresses {
-		return
+		return nil, false
 	}
-	if _, known := b.addresses[address]; !known {
-		b.addresses[address] = now
+	state = &addressState{seen: now}
+	b.addresses[address] = state
+	return state, true
+}
+
+// addVouched adds addresses that a peer has named. The caller holds the lock.
+func (b *Beacon) addVouched(now time.Time, addresses []string) {
+	for _, address := range addresses[:min(maxAddressesSent, len(addresses))] {
+		if state, usable := b.add(now, address); usable {
+			state.vouched = true
+		}
 	}
 }
 
@@ -255,11 +295,21 @@
 }
 
 // KnownCount returns the number of known VMs, this one and those that have died
-// lately included.
+// lately included. VMs that only peers have heard yet count as well.
 func (b *Beacon) KnownCount() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return 1 + len(b.peers)
+	return b.knownCount()
+}
+
+func (b *Beacon) knownCount() int {
+	n := 1
+	for address, state := range b.addresses {
+		if address != b.self && (state.heard || state.vouched) {
+			n++
+		}
+	}
+	return n
 }
 
 // AddressCount returns the number of addresses at which VMs may run, including this
@@ -315,10 +365,12 @@
 	b.self = m.Address
 	b.dataCentre = m.DataCentre
 	b.sequence++
+	b.answers = 0
 	m.Sequence = b.sequence
+	m.Known = b.knownCount()
 	targets := b.targets(now)
 	if b.sequence%peersEvery == 0 {
-		m.Peers = b.peerAddresses(now)
+		m.Peers = b.peerAddresses(now, maxPeersListed)
 	}
 	b.mu.Unlock()
 	raw, err := Pack(m)
@@ -358,13 +410,17 @@
 // addresses that have been silent for too long. The caller holds the lock.
 func (b *Beacon) targets(now time.Time) []netip.AddrPort {
 	var list []netip.AddrPort
-	for address, lastSeen := range b.addresses {
-		if now.Sub(lastSeen) > addressTTL {
+	every := unheardEvery
+	if b.knownCount() > fanOut {
+		every = unheardRarely
+	}
+	for address, state := range b.addresses {
+		if now.Sub(state.seen) > addressTTL {
 			delete(b.addresses, address)
 			delete(b.near, address)
 			continue
 		}
-		if address == b.self {
+		if address == b.self || state.skipUnheard(every) {
 			continue
 		}
 		if parsed, err := netip.ParseAddrPort(address); err == nil {
@@ -387,17 +443,28 @@
 	return b.roundRobin.Next(near, far, rand.Shuffle)
 }
 
+// skipUnheard counts a round and reports whether it leaves out the address, because neither
+// a beacon from it has been received nor a peer has named it.
+func (s *addressState) skipUnheard(every int) bool {
+	if s.heard || s.vouched {
+		return false
+	}
+	s.unheardRounds++
+	return s.unheardRounds > unheardFirstRounds && s.unheardRounds%every != 0
+}
+
 // RoundRobin selects the VMs that get a beacon in each round of a large fleet.
 // The zero value works. It is not safe for concurrent use.
 type RoundRobin[T any] struct{ next int }
 
 // Next returns the next VMs of near in their order, and farFanOut random ones of
-// far, or all if there are fewer.
+// far, or more if there are few near ones.
 func (r *RoundRobin[T]) Next(near, far []T, shuffle func(n int, swap func(i, j int))) []T {
 	far = slices.Clone(far)
 	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	list := far[:min(farFanOut, len(far))]
-	for i := range min(fanOut-farFanOut, len(near)) {
+	nearTargets := min(fanOut-farFanOut, len(near))
+	list := far[:min(fanOut-nearTargets, len(far))]
+	for i := range nearTargets {
 		list = append(list, near[(r.next+i)%len(near)])
 	}
 	r.next += fanOut - farFanOut
@@ -422,12 +489,39 @@
 	return max(1, (near+perRound-1)/perRound)
 }
 
-// peerAddresses returns the addresses of some peers that are alive. The caller
+// answerNewcomer sends addresses of other VMs to the sender of a message, if it knows far
+// fewer than this VM. VMs that all start at once know only a few seeds at first, and
+// those would otherwise get the beacons of all.
+func (b *Beacon) answerNewcomer(now time.Time, m Message) {
+	b.mu.Lock()
+	known := b.knownCount()
+	if m.Known == 0 || m.Known*knownPart >= known*(knownPart-1) || b.answers >= maxAddressAnswers {
+		b.mu.Unlock()
+		return
+	}
+	b.answers++
+	list := b.peerAddresses(now, maxAddressesSent)
+	from := b.self
+	b.mu.Unlock()
+	target, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return
+	}
+	raw, err := Pack(Message{FactsFrom: from, Peers: list})
+	if err != nil {
+		b.opts.Log.Error().Err(err).Msg("addresses not sent")
+		return
+	}
+	// A VM that still knows few asks again by its next beacon.
+	_, _ = b.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(target))
+}
+
+// peerAddresses returns the addresses of up to n peers that are alive. The caller
 // holds the lock.
-func (b *Beacon) peerAddresses(now time.Time) []string {
+func (b *Beacon) peerAddresses(now time.Time, n int) []string {
 	var list []string
 	for _, p := range b.peers {
-		if len(list) < maxPeersListed && now.Sub(p.ReceivedAt) < b.silenceLimit(p.Address) {
+		if len(list) < n && now.Sub(p.ReceivedAt) < b.silenceLimit(p.Address) {
 			list = append(list, p.Address)
 		}
 	}
@@ -453,10 +547,14 @@
 		now := b.opts.Now()
 		switch {
 		case m.FactsFrom != "":
-			if b.opts.ReceiveStreams != nil {
+			b.mu.Lock()
+			b.addVouched(now, m.Peers)
+			b.mu.Unlock()
+			if b.opts.ReceiveStreams != nil && len(m.Streams) > 0 {
 				b.opts.ReceiveStreams(now, m)
 			}
 		case b.Accept(now, m):
+			b.answerNewcomer(now, m)
 			b.opts.Receive(now, m)
 		}
 	}
@@ -483,16 +581,13 @@
 		delete(b.near, old.Address)
 	}
 	b.peers[m.Name] = &Peer{m, now}
-	b.add(now, m.Address)
-	if _, listed := b.addresses[m.Address]; listed {
-		b.addresses[m.Address] = now
+	if state, usable := b.add(now, m.Address); usable {
+		state.seen, state.heard = now, true
 		if m.DataCentre == b.dataCentre {
 			b.near[m.Address] = true
 		}
 	}
-	for _, address := range m.Peers {
-		b.add(now, address)
-	}
+	b.addVouched(now, m.Peers)
 	b.removeSilent(now)
 	return true
 }
--- a/internal/beacon/packet.go
+++ b/internal/beacon/packet.go
@@ -25,8 +25,9 @@
 	return raw, nil
 }
 
-// factsMessage is a Message that carries only facts.
+// factsMessage is a Message that carries only facts or addresses.
 type factsMessage struct {
+	Peers     []string       `cbor:"21,keyasint,omitempty"`
 	Streams   []lineage.Fact `cbor:"26,keyasint"`
 	FactsFrom string         `cbor:"27,keyasint"`
 }
@@ -34,7 +35,7 @@
 // packFacts encodes a message with FactsFrom. It leaves out all other fields, also those
 // that are not omitted when they are empty.
 func packFacts(m Message) ([]byte, error) {
-	raw, err := cbor.Marshal(factsMessage{m.Streams, m.FactsFrom})
+	raw, err := cbor.Marshal(factsMessage{m.Peers, m.Streams, m.FactsFrom})
 	if err != nil {
 		return nil, fmt.Errorf("beacon: pack: %w", err)
 	}
@@ -50,7 +51,7 @@
 		return Message{}, fmt.Errorf("beacon: unpack: %w", err)
 	}
 	if m.FactsFrom != "" {
-		return Message{Name: m.FactsFrom, FactsFrom: m.FactsFrom, Streams: m.Streams}, nil
+		return Message{Name: m.FactsFrom, FactsFrom: m.FactsFrom, Peers: m.Peers, Streams: m.Streams}, nil
 	}
 	if m.Name == "" {
 		return Message{}, errNoName
