internal/watchers, internal/entryvm: few VMs watch the store, also after a start of all

Cause: which VMs watch was decided by their own beacons alone. Of 195 VMs a VM hears one of another data centre every six seconds, so that of four watchers none may have been heard for the 2.5 s after which all take over, and after a start of all at once nobody watches, so that all begin at the same time and see 40 changes a second of upstreams that start.

Change: package watchers, split off entryvm. Beacons carry who watches, with a stamp of the VM it is about and its age, so that all know within a second; a VM that stops says so, and a vacant place is taken by the first ones in order before others. In its first 4 s a VM also counts the VMs that the store lists when it judges the size of the fleet. VMs of older builds tell in the field that they had.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -33,6 +33,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
+	"github.com/hibiscuscove/hibiscuscove/internal/watchers"
 )
 
 // State is the stage of a VM's life.
@@ -145,6 +146,8 @@
 	// Known is the number of VMs that the sender knows, itself included. It is 0 from a
 	// VM of an older build.
 	Known int `json:"known,omitempty" cbor:"32,keyasint,omitempty"`
+	// Watchers holds which VMs watch the store, in a large fleet.
+	Watchers []watchers.Report `json:"watchers,omitempty" cbor:"33,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
@@ -154,8 +157,10 @@
 	ReceivedAt time.Time `json:"Heard"`
 }
 
+// DefaultInterval is the time between two beacons.
+const DefaultInterval = 150 * time.Millisecond
+
 const (
-	defaultInterval = 150 * time.Millisecond
 	// fanOut limits the datagrams of one round, so that a VM's cost does not
 	// grow with the fleet. In a larger fleet all but farFanOut go to VMs of the
 	// same data centre, which send requests to the same upstreams.
@@ -233,7 +238,7 @@
 // New returns a Beacon.
 func New(opts Options) *Beacon {
 	if opts.Interval <= 0 {
-		opts.Interval = defaultInterval
+		opts.Interval = DefaultInterval
 	}
 	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]*addressState), near: make(map[string]bool)}
 }
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -40,9 +40,6 @@
 	maxSuspicions    = 16
 	maxSentPerBeacon = 24
 	maxAddresses     = 64
-	// targetWatchers is the number of VMs that watch the store in a fleet of more
-	// than roster.MaxFullViewVMs VMs. In a smaller fleet all VMs do.
-	targetWatchers = 4
 	// targetFollowers is the average number of VMs that follow the cache events of an
 	// engine or of the prompt store. Both reject followers beyond 8 to 12.
 	targetFollowers = 10
@@ -50,12 +47,6 @@
 	// upstreams between two watches. It is short compared with the time after which a
 	// leaving upstream must get no more requests.
 	largeFleetCollectInterval = 400 * time.Millisecond
-	// joinPeriod is how long a starting VM collects its peers' beacons before it
-	// relies on the size of the fleet.
-	joinPeriod = 1500 * time.Millisecond
-	// watcherTimeout is the time without a beacon from any watcher after which a
-	// VM watches the store itself.
-	watcherTimeout = 2500 * time.Millisecond
 	// minLocalVMs is the minimum number of serving VMs in a caller's data centre for
 	// the caller to get only addresses of that data centre.
 	minLocalVMs = 2
@@ -85,7 +76,8 @@
 	for id, l := range v.upstreams.OwnLoad() {
 		m.Loads[id] = [3]int{l.Requests, l.WaitingTokens, l.Tokens}
 	}
-	m.Watching = v.storeHealthy() && v.shouldWatch(now)
+	m.Watching = v.storeHealthy() && v.shouldWatch(now) && v.drainStarted.Load() == 0
+	m.Watchers = v.watcherReports(now, m.Watching)
 	if c := v.retained(); c != nil {
 		m.Retained = c.Version()
 	}
@@ -136,6 +128,7 @@
 	for _, u := range m.Updated {
 		v.upstreams.ObserveVersion(now, u.ID, u.Born, u.Version)
 	}
+	v.learnWatchers(now, m)
 	v.learnLimits(now, m)
 	v.learnDrains(now, m)
 	v.learnEjections(now, m)
--- a/internal/entryvm/streams.go
+++ b/internal/entryvm/streams.go
@@ -112,13 +112,12 @@
 		return false
 	}
 	own := v.upstreamFollower.Position()
-	watched := v.shouldWatch(now)
+	watched := v.shouldWatch(now) || v.watchers.Watched(now)
 	for _, p := range alive {
 		_, theirs, _ := p.Revisions.Positions()
 		if own.Before(theirs) {
 			return false
 		}
-		watched = watched || p.Watching && now.Sub(p.ReceivedAt) < watcherTimeout
 	}
 	return watched
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -56,6 +56,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
 	"github.com/hibiscuscove/hibiscuscove/internal/suspect"
+	"github.com/hibiscuscove/hibiscuscove/internal/watchers"
 	"github.com/hibiscuscove/hibiscuscove/platform"
 )
 
@@ -116,6 +117,7 @@
 	backoffs              *health.Backoffs
 	ejections             *health.Ejections
 	brittle               *health.Brittle
+	watchers              *watchers.Tracker
 	paths                 *relay.Paths
 	connector             *relay.Connector
 	relayServer           *relay.Server
@@ -179,6 +181,7 @@
 		fetching:      make(map[string]bool),
 		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS), Dial: opts.DialUpstream}),
 	}
+	v.watchers = watchers.New(watchers.Options{Name: s.Name, Incarnation: v.incarnation, LinkMbps: int(s.LinkMbps), StartedAt: v.startedAt})
 	v.store = platform.NewStore(s.StoreAddress, v.metrics)
 	v.store.SetLog(v.log)
 	debug.SetGCPercent(gcPercent)
--- a/internal/entryvm/watch.go
+++ b/internal/entryvm/watch.go
@@ -1,77 +1,73 @@
 package entryvm
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
+	"github.com/hibiscuscove/hibiscuscove/internal/watchers"
 )
 
-// shouldWatch reports whether this VM should watch the store.
-func (v *VM) shouldWatch(now time.Time) bool {
-	if now.Sub(v.startedAt) < joinPeriod {
-		return false
+// settlePeriod is how long a VM that has started counts the VMs that the store lists as
+// well, since it has not heard of all that run.
+const settlePeriod = 4 * time.Second
+
+// vms returns the number of VMs, as far as this one knows.
+func (v *VM) vms(now time.Time) int {
+	n := v.beacon.KnownCount()
+	if now.Sub(v.startedAt) < settlePeriod {
+		n = max(n, v.beacon.AddressCount())
 	}
-	return ShouldWatch(now, v.settings.Name, int(v.settings.LinkMbps), ignoreEarlierWatchers(v.beacon.Alive(now), v.upstreamFollower.Position().Era))
+	return n
 }
 
-// ignoreEarlierWatchers returns the peers, of which those that follow an earlier era
-// than this VM do not count as watching. A VM of an older build tells no era.
-func ignoreEarlierWatchers(peers []*beacon.Peer, era uint64) []*beacon.Peer {
-	if era == 0 {
-		return peers
-	}
-	list := make([]*beacon.Peer, len(peers))
-	for i, p := range peers {
-		list[i] = p
-		if p.Watching && p.Revisions.UpstreamsEra < era {
-			passive := *p
-			passive.Watching = false
-			list[i] = &passive
+// inLargeFleet reports whether the fleet is too large for every VM to have a full view.
+func (v *VM) inLargeFleet(now time.Time) bool { return v.vms(now) > roster.MaxFullViewVMs }
+
+// shouldWatch reports whether this VM should watch the store.
+func (v *VM) shouldWatch(now time.Time) bool {
+	fleet := watchers.Fleet{Large: v.inLargeFleet(now), Era: v.upstreamFollower.Position().Era}
+	if fleet.Large {
+		for _, p := range v.beacon.Alive(now) {
+			if p.State != beacon.Leaving {
+				fleet.Peers = append(fleet.Peers, watchers.VM{Name: p.Name, LinkMbps: p.LinkMbps})
+			}
 		}
 	}
-	return list
+	return v.watchers.Decide(now, fleet)
 }
 
-// ShouldWatch reports whether a VM should watch the store, given the bandwidth of its
-// link in Mbit/s and the peers whose beacons it has received. In a fleet of up to
-// roster.MaxFullViewVMs VMs all watch. In a larger one a VM watches if fewer than
-// targetWatchers of the VMs that precede it do, or if no beacon of a watching VM has
-// arrived within watcherTimeout. VMs with larger links precede others, and those with
-// equal links are in rendezvous order. Leaving VMs don't count.
-func ShouldWatch(now time.Time, name string, linkMbps int, peers []*beacon.Peer) bool {
-	if len(peers)+1 <= roster.MaxFullViewVMs {
-		return true
+// watcherReports returns what this VM tells its peers of who watches the store.
+func (v *VM) watcherReports(now time.Time, watching bool) []watchers.Report {
+	if !v.inLargeFleet(now) {
+		return nil
 	}
-	preceding, recent := 0, 0
-	ownHash := xxhash.Sum64String("watch/" + name)
-	for _, p := range peers {
-		if !p.Watching || p.State == beacon.Leaving {
-			continue // VMs whose calls to the store fail don't announce Watching
-		}
-		if p.LinkMbps > linkMbps || p.LinkMbps == linkMbps && xxhash.Sum64String("watch/"+p.Name) < ownHash {
-			preceding++
-		}
-		if now.Sub(p.ReceivedAt) < watcherTimeout {
-			recent++
-		}
+	return v.watchers.Reports(now, watching, v.upstreamFollower.Position().Era)
+}
+
+// learnWatchers takes what a peer tells of who watches the store. A VM of an older build
+// tells only whether it does itself.
+func (v *VM) learnWatchers(now time.Time, m beacon.Message) {
+	reports := m.Watchers
+	if m.Watching && !slices.ContainsFunc(reports, func(r watchers.Report) bool { return r.Name == m.Name }) {
+		stamp := m.Incarnation + int64(m.Sequence)*beacon.DefaultInterval.Milliseconds()
+		reports = append(slices.Clone(reports), watchers.Report{Name: m.Name, LinkMbps: m.LinkMbps, Stamp: stamp, Era: m.Revisions.UpstreamsEra})
 	}
-	return preceding < targetWatchers || recent == 0
+	v.watchers.Learn(now, reports)
 }
 
 // followShare returns the share of VMs, 0 to 1, that follow the cache events of
 // an upstream. In a fleet of up to targetFollowers VMs all do. With a partial view
 // requests go to the upstream chosen by rendezvous hashing, and only the prompt store
-// is followed, not engines. Nothing is followed before joinPeriod has passed, since
+// is followed, not engines. Nothing is followed before watchers.JoinPeriod has passed, since
 // the size of the fleet is not known yet.
 func (v *VM) followShare(u roster.Upstream) float64 {
-	if u.Model != "" && v.upstreams.PartialView() || v.opts.Now().Sub(v.startedAt) < joinPeriod {
+	now := v.opts.Now()
+	if u.Model != "" && (v.upstreams.PartialView() || v.inLargeFleet(now)) || now.Sub(v.startedAt) < watchers.JoinPeriod {
 		return 0
 	}
-	vms := len(v.beacon.Alive(v.opts.Now())) + 1
-	return min(1, targetFollowers/float64(vms))
+	return min(1, targetFollowers/float64(v.vms(now)))
 }
 
 // largeFleetSilence is maxStoreSilence in a large fleet: when the connections of the few
@@ -80,7 +76,7 @@
 const largeFleetSilence = 1100 * time.Millisecond
 
 func (v *VM) maxStoreSilence() time.Duration {
-	return MaxStoreSilence(milliseconds(v.settings.ContactMS), len(v.beacon.Alive(v.opts.Now()))+1)
+	return MaxStoreSilence(milliseconds(v.settings.ContactMS), v.vms(v.opts.Now()))
 }
 
 // MaxStoreSilence returns within what time a VM of a fleet notices that the store's answers
@@ -101,10 +97,16 @@
 // between two watches. In a large fleet many change at once, and each response to a
 // watch costs another call to the store.
 func (v *VM) upstreamCollectInterval() time.Duration {
-	if len(v.beacon.Alive(v.opts.Now()))+1 <= roster.MaxFullViewVMs {
-		return 0
+	return CollectInterval(v.inLargeFleet(v.opts.Now()))
+}
+
+// CollectInterval returns how long a VM that watches collects changes of upstreams, in a
+// large fleet or another one.
+func CollectInterval(large bool) time.Duration {
+	if large {
+		return largeFleetCollectInterval
 	}
-	return largeFleetCollectInterval
+	return 0
 }
 
 // revisions returns the revision up to which this VM knows each collection.
--- a/internal/standin/silentstore.go
+++ b/internal/standin/silentstore.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -24,6 +25,8 @@
 	// Writes holds when each revision was written, the first is revision 1.
 	Writes []time.Time
 	Now    func() time.Time
+	// Calls is the number of calls made so far.
+	Calls atomic.Int64
 
 	mu               sync.Mutex
 	silentAt, backAt time.Time
@@ -58,6 +61,7 @@
 
 // wait returns after d, or with an error after timeout if the store falls silent before.
 func (s *SilentStore) wait(ctx context.Context, d, timeout time.Duration) error {
+	s.Calls.Add(1)
 	sent := s.Now()
 	select {
 	case <-time.After(d):
