internal/cacheevents, platform: an engine that has enough followers counts as reachable

Cause: a rejected call for cache events (429) was treated as any failed one: the engine counted as unreachable for this VM unless it had responded lately, the prompt store as down, and the next call came a second later.

Change: a rejected follower calls again after pauses that double up to 16 s, and the engine or store that rejected it counts as reachable.

--- a/internal/cacheevents/cacheevents.go
+++ b/internal/cacheevents/cacheevents.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -37,10 +38,14 @@
 	Parts []roster.CachedPart
 }
 
+// ErrRefused means that an engine or store responds, and has as many followers as it takes.
+var ErrRefused = errors.New("cacheevents: too many followers")
+
 // Source reads events. Its implementations are safe for concurrent use.
 type Source interface {
 	// Events returns the events from the number since on. If there are none, it
-	// waits for new ones for at most wait.
+	// waits for new ones for at most wait. An error wraps ErrRefused if there are too many
+	// followers.
 	Events(ctx context.Context, u roster.Upstream, since uint64, wait time.Duration) (Batch, error)
 }
 
@@ -57,6 +62,9 @@
 	// backoff is the mean pause after a failed call, with a jitter of half of
 	// it either way.
 	backoff = time.Second
+	// maxRefusedBackoff limits the mean pause after calls that were rejected, which doubles
+	// with each in a row.
+	maxRefusedBackoff = 16 * time.Second
 )
 
 // Options configures a Follower. All fields but Log are required.
@@ -148,10 +156,17 @@
 // followEngine applies the events of one incarnation of an engine to Options.Upstreams.
 func (f *Follower) followEngine(ctx context.Context, u roster.Upstream) {
 	var since, epoch uint64
+	refusedBackoff := backoff
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, eventWait+callTimeoutMargin)
 		batch, err := f.opts.Source.Events(call, u, since, eventWait)
 		cancel()
+		if errors.Is(err, ErrRefused) {
+			f.opts.Upstreams.ReportReachable(f.opts.Now(), u.ID)
+			refusedBackoff = waitRefused(ctx, refusedBackoff)
+			continue
+		}
+		refusedBackoff = backoff
 		if err != nil {
 			f.opts.Log.Debug().Str("upstream", u.ID).Err(err).Msg("reading cache events failed")
 			if ctx.Err() == nil && !f.opts.Upstreams.RespondedWithin(f.opts.Now(), u.ID, eventWait+callTimeoutMargin) {
@@ -174,10 +189,17 @@
 	}
 }
 
+// waitRefused waits after a rejected call and returns the next such pause.
+func waitRefused(ctx context.Context, pause time.Duration) time.Duration {
+	wait.For(ctx, pause/2+rand.N(pause))
+	return min(maxRefusedBackoff, 2*pause)
+}
+
 // followStore applies the events of the prompt store, if there is one, to
 // Options.Upstreams, and records whether the store responds.
 func (f *Follower) followStore(ctx context.Context) {
 	var since, epoch uint64
+	refusedBackoff := backoff
 	for ctx.Err() == nil {
 		u, found := f.opts.Upstreams.Store()
 		if !found || rand.Float64() >= f.opts.FollowShare(u) {
@@ -187,6 +209,11 @@
 		call, cancel := context.WithTimeout(ctx, eventWait+callTimeoutMargin)
 		batch, err := f.opts.Source.Events(call, u, since, eventWait)
 		cancel()
+		if errors.Is(err, ErrRefused) {
+			refusedBackoff = waitRefused(ctx, refusedBackoff)
+			continue
+		}
+		refusedBackoff = backoff
 		if err != nil {
 			f.opts.Upstreams.SetStoreUp(false)
 			f.opts.Log.Warn().Str("store", u.Address).Err(err).Msg("prompt store does not respond")
--- a/internal/cacheevents/cacheevents_test.go
+++ b/internal/cacheevents/cacheevents_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -158,3 +159,21 @@
 	close(failed)
 	eventually(t, "the store is not used as a source", func() bool { return missingTokens(t, table) > 100 })
 }
+
+// Guards against engines that count as unreachable, or are called again and again, because
+// they have enough followers.
+func TestRefusedFollowersCallRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{calls: make(map[string]int), script: map[string]func(int, uint64) (cacheevents.Batch, error){
+			"e": func(int, uint64) (cacheevents.Batch, error) { return cacheevents.Batch{}, cacheevents.ErrRefused },
+		}}
+		table := startFollower(t, source, 1)
+		time.Sleep(time.Minute)
+		if n := source.callCount("e"); n > 8 {
+			t.Errorf("%d calls in a minute, want 8 at the most", n)
+		}
+		if avoided := table.Avoided(time.Now()); len(avoided) > 0 {
+			t.Errorf("%v count as unreachable", avoided)
+		}
+	})
+}
