--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
+	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -101,9 +102,8 @@
 	Loads map[string][3]int `json:"loads,omitempty" cbor:"11,keyasint,omitempty"`
 	Sent  []roster.Sent     `json:"sent,omitempty" cbor:"12,keyasint,omitempty"`
 	// LastFence is the fence of the last lease that the VM held. Leading is the
-	// same fence while the VM holds that lease and engines are outdated, otherwise 0.
-	// Loading
-	// holds the IDs of the engines that it is changing.
+	// same fence while the VM holds that lease, otherwise 0. Loading holds the IDs of the
+	// engines that it is changing.
 	LastFence uint64   `json:"last_fence,omitempty" cbor:"13,keyasint,omitempty"`
 	Leading   uint64   `json:"leading,omitempty" cbor:"14,keyasint,omitempty"`
 	Loading   []string `json:"loading,omitempty" cbor:"15,keyasint,omitempty"`
@@ -148,6 +148,10 @@
 	Known int `json:"known,omitempty" cbor:"32,keyasint,omitempty"`
 	// Watchers holds which VMs watch the store, in a large fleet.
 	Watchers []watchers.Report `json:"watchers,omitempty" cbor:"33,keyasint,omitempty"`
+	// LetGo is the last lease that any VM has let go of, as far as the sender knows.
+	LetGo *leader.LetGo `json:"let_go,omitempty" cbor:"34,keyasint,omitempty"`
+	// Leader is the last VM that led the rollout, as far as the sender knows.
+	Leader *leader.Leading `json:"leader,omitempty" cbor:"35,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -1,7 +1,6 @@
 package entryvm
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,10 +12,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -82,10 +81,16 @@
 		m.Retained = c.Version()
 	}
 	m.LastFence = v.elector.Fence()
-	if v.rollout.Working(now) {
+	if v.elector.Holds(now) {
 		m.Leading = m.LastFence
 		m.Loading = v.rollout.Changing()
+	} else if m.LastFence > 0 {
+		v.leaders.RecordLetGo(now, leader.LetGo{Holder: m.Name, Incarnation: m.Incarnation, Fence: m.LastFence, Lost: v.elector.Lost()})
 	}
+	if m.Leading > 0 {
+		v.leaders.RecordLeading(now, leader.Leading{Name: m.Name, Fence: m.Leading})
+	}
+	m.LetGo, m.Leader = v.leaders.LetGo(now), v.leaders.Leading(now)
 	if m.Leading > 0 || v.upstreams.PartialView() {
 		// In a small fleet every VM receives this directly from the VM that changes
 		// the engines.
@@ -143,11 +148,13 @@
 	}
 	if m.Leading > 0 {
 		v.rollout.RecordProgress(now, m.Loading...)
-		v.mu.Lock()
-		if m.Leading > v.leaderFence {
-			v.leader, v.leaderFence = m.Name, m.Leading
-		}
-		v.mu.Unlock()
+		v.leaders.RecordLeading(now, leader.Leading{Name: m.Name, Fence: m.Leading})
+	}
+	if m.Leader != nil {
+		v.leaders.RecordLeading(now, *m.Leader)
+	}
+	if m.LetGo != nil {
+		v.leaders.RecordLetGo(now, *m.LetGo)
 	}
 	v.fetchRetained(m)
 	configuration, upstreams, versions := m.Revisions.Positions()
@@ -444,34 +451,23 @@
 	return all
 }
 
-// rank returns this VM's rank in the order in which VMs try to take the rollout
-// lease, 0 for the first: the last leader comes first, the others follow by
-// rendezvous hashing.
+// rank returns this VM's rank in the order in which VMs try to take the rollout lease.
 func (v *VM) rank(now time.Time) int {
-	v.mu.Lock()
-	leader := v.leader
-	if own := v.elector.Fence(); own > 0 && own >= v.leaderFence {
-		leader = v.settings.Name
-	}
-	v.mu.Unlock()
-	names := []string{v.settings.Name}
+	var serving []string
 	for _, p := range v.beacon.Alive(now) {
 		if p.State == beacon.Serving {
-			names = append(names, p.Name)
+			serving = append(serving, p.Name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		if a == leader || b == leader {
-			return cmp.Compare(boolToInt(b == leader), boolToInt(a == leader))
-		}
-		return cmp.Compare(xxhash.Sum64String("rollout/"+a), xxhash.Sum64String("rollout/"+b))
-	})
-	return slices.Index(names, v.settings.Name)
+	return v.leaders.Rank(v.elector.Fence(), serving)
 }
 
-// steppedDown reports whether a VM's own beacon shows that it held the lease with
-// this fence and no longer does, or that it has restarted since.
+// steppedDown reports whether a VM is known to have let go of the lease with this fence, or
+// to have restarted since.
 func (v *VM) steppedDown(holder string, incarnation int64, fence uint64) bool {
+	if v.leaders.SteppedDown(holder, incarnation, fence) {
+		return true
+	}
 	for _, p := range v.beacon.Alive(v.opts.Now()) {
 		if p.Name == holder {
 			return p.Incarnation == incarnation && p.LastFence >= fence && p.Leading == 0 || p.Incarnation > incarnation
@@ -479,10 +475,3 @@
 	}
 	return false
 }
-
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -45,6 +45,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
+	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
@@ -118,6 +119,7 @@
 	ejections             *health.Ejections
 	brittle               *health.Brittle
 	watchers              *watchers.Tracker
+	leaders               *leader.Tracker
 	paths                 *relay.Paths
 	connector             *relay.Connector
 	relayServer           *relay.Server
@@ -155,10 +157,6 @@
 	sentByBeacon [][]roster.Sent
 	// fetching holds the collections that are being downloaded from a peer.
 	fetching map[string]bool
-	// leader is the VM with the highest fence that any beacon has shown to be
-	// leading a rollout; leaderFence is that fence.
-	leader      string
-	leaderFence uint64
 }
 
 // New returns a VM with its addresses open. It also sets the garbage collector's
@@ -182,6 +180,7 @@
 		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS), Dial: opts.DialUpstream}),
 	}
 	v.watchers = watchers.New(watchers.Options{Name: s.Name, Incarnation: v.incarnation, LinkMbps: int(s.LinkMbps), StartedAt: v.startedAt})
+	v.leaders = leader.NewTracker(s.Name)
 	v.store = platform.NewStore(s.StoreAddress, v.metrics)
 	v.store.SetLog(v.log)
 	debug.SetGCPercent(gcPercent)
@@ -256,11 +255,14 @@
 		SteppedDown:      v.steppedDown,
 		DesiredAges:      v.upstreams.DesiredAges,
 		MergeDesiredAges: v.mergeDesiredAges,
-		Log:              v.log,
+		OnRead: func(now time.Time, l rollout.Lease) {
+			v.leaders.RecordLeading(now, leader.Leading{Name: l.Holder, Fence: l.Fence})
+		},
+		Log: v.log,
 	})
 	v.rollout = rollout.New(rollout.Options{
 		Elector: v.elector, Engines: platform.Engines{Dialer: v.dialer, Leaving: v.recordLeaving}, Upstreams: v.upstreams,
-		Clock: clock, Holder: v.settings.Name, Rank: v.rank, CutOff: v.cutOffFromEngines, Log: v.log,
+		Clock: clock, Holder: v.settings.Name, Rank: v.rank, LeaderLost: v.leaders.Lost, CutOff: v.cutOffFromEngines, Log: v.log,
 		OnChanged: func(took time.Duration) {
 			metrics.GetOrRegisterHistogram("engine_change_ms", v.metrics, metrics.NewUniformSample(histogramSamples)).Update(took.Milliseconds())
 		},
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -97,7 +97,9 @@
 	// lease is replaced.
 	DesiredAges      func(now time.Time) []roster.DesiredAge
 	MergeDesiredAges func(now time.Time, ages []roster.DesiredAge)
-	Log              zerolog.Logger
+	// OnRead, if it is set, is called with each lease that was read from the store.
+	OnRead func(now time.Time, l Lease)
+	Log    zerolog.Logger
 }
 
 const (
@@ -120,6 +122,8 @@
 
 	mu   sync.Mutex
 	held bool
+	// lost is set if the last lease that this VM held was lost rather than released.
+	lost bool
 	// lease is the last lease that was read or written. It has been unchanged
 	// since unchangedSince.
 	lease          Lease
@@ -170,6 +174,13 @@
 	return e.held && e.opts.Store.Era() == e.lease.Era && now.Sub(e.renewedAt) < leaseTerm && e.opts.Clock.Boot()-e.renewedBoot < leaseTerm
 }
 
+// Lost reports whether this VM has lost the last lease that it held, rather than released it.
+func (e *Elector) Lost() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.held && e.lost || e.held && !e.valid(e.opts.Clock.Now())
+}
+
 // Fence returns the fence of the last lease that this VM held. It returns 0 if
 // there is none, or if this VM has read another holder's lease since.
 func (e *Elector) Fence() uint64 {
@@ -224,6 +235,9 @@
 		return fmt.Errorf("rollout: read lease: %w", err)
 	}
 	e.opts.MergeDesiredAges(now, found.DesiredAges(now))
+	if e.opts.OnRead != nil {
+		e.opts.OnRead(now, found)
+	}
 	e.mu.Lock()
 	if found.Revision != e.lease.Revision || found.ReadEra != e.lease.ReadEra || e.unchangedSince.IsZero() {
 		e.lease = found
@@ -313,7 +327,7 @@
 		e.ordersFrom = ordersFrom
 		e.handoverEnd = handoverEnd
 	}
-	e.held = true
+	e.held, e.lost = true, false
 	e.lease = written
 	e.unchangedSince = now
 	e.renewedAt = now
@@ -324,7 +338,7 @@
 // markLost records that the lease is no longer held. The next one needs a new
 // fence. The caller holds the lock.
 func (e *Elector) markLost(now time.Time, reason string) {
-	e.held = false
+	e.held, e.lost = false, true
 	e.unchangedSince = time.Time{}
 	e.opts.Log.Warn().Uint64("fence", e.lease.Fence).Dur("since_renewal", now.Sub(e.renewedAt)).Str("reason", reason).Msg("lease lost")
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -71,7 +71,7 @@
 	LoadWeights(ctx context.Context, o Order) error
 }
 
-// Options sets up a Rollout. All but CutOff and Log are required.
+// Options sets up a Rollout. All but LeaderLost, CutOff and Log are required.
 type Options struct {
 	Elector   *Elector
 	Engines   Engines
@@ -81,6 +81,9 @@
 	// Rank returns this VM's position in the order in which VMs try to take the
 	// lease, 0 for the first.
 	Rank func(now time.Time) int
+	// LeaderLost, if it is set, reports whether the last leader has lost the lease, and since
+	// when this VM knows that.
+	LeaderLost func() (since time.Time, lost bool)
 	// CutOff, if it is set, reports whether this VM does not reach the engines while other
 	// VMs do: then one of those is to change their weights.
 	CutOff func() bool
@@ -109,6 +112,9 @@
 	// rankDelay is how long a VM waits for each VM with a lower rank before it
 	// tries to take the lease.
 	rankDelay = 1200 * time.Millisecond
+	// lostRankDelay is the same once the leader has said that it has lost the lease. It is
+	// enough for the lease of another VM to be seen in the store.
+	lostRankDelay = 250 * time.Millisecond
 	// peerChangeTTL is how long an entry of Rollout.peerChanges counts. It is
 	// longer than the time in which two VMs must not both send orders to one
 	// engine.
@@ -182,13 +188,6 @@
 	}
 }
 
-// Working reports whether this VM holds the lease while engines are outdated.
-func (r *Rollout) Working(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.outdatedCount > 0 && r.opts.Elector.Holds(now)
-}
-
 // Changing returns the sorted IDs of the engines that this VM is changing.
 func (r *Rollout) Changing() []string {
 	r.mu.Lock()
@@ -281,9 +280,14 @@
 
 // isDue reports whether this VM may try to take the lease: no VM has made
 // progress for rankDelay per VM with a lower rank, so that those could try
-// first.
+// first, or the leader has lost the lease some time ago.
 func (r *Rollout) isDue(now time.Time) bool {
 	rank := r.opts.Rank(now)
+	if r.opts.LeaderLost != nil {
+		if since, lost := r.opts.LeaderLost(); lost && now.Sub(since) >= time.Duration(rank)*lostRankDelay {
+			return true
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return now.Sub(r.lastProgress) >= time.Duration(rank)*rankDelay
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -34,22 +35,30 @@
 
 // newTestVM returns a VM with n engines that have version 1.
 func newTestVM(n int) *testVM {
+	return newTestVMWith(n, func(*rollout.ElectorOptions, *rollout.Options) {})
+}
+
+// newTestVMWith returns the same with changed options.
+func newTestVMWith(n int, change func(*rollout.ElectorOptions, *rollout.Options)) *testVM {
 	list := upstreams(n)
 	vm := &testVM{store: &fakeLeaseStore{}, table: roster.New(roster.Options{}), engines: newEngines(list)}
 	vm.table.Replace(time.Now(), list, false)
 	boot := time.Now()
 	clock := rollout.Clock{Now: time.Now, Boot: func() time.Duration { return time.Since(boot) }}
-	elector := rollout.NewElector(rollout.ElectorOptions{
+	electorOptions := rollout.ElectorOptions{
 		Store: vm.store, Clock: clock, Holder: "a", Incarnation: 1, HandoverDelay: 100 * time.Millisecond,
 		SteppedDown:      func(string, int64, uint64) bool { return false },
 		DesiredAges:      vm.table.DesiredAges,
 		MergeDesiredAges: func(time.Time, []roster.DesiredAge) {},
-	})
-	vm.rollout = rollout.New(rollout.Options{
-		Elector: elector, Engines: vm.engines, Upstreams: vm.table, Clock: clock, Holder: "a", Rank: func(time.Time) int { return 0 },
+	}
+	rolloutOptions := rollout.Options{
+		Engines: vm.engines, Upstreams: vm.table, Clock: clock, Holder: "a", Rank: func(time.Time) int { return 0 },
 		OnChanged: func(time.Duration) {}, CutOff: vm.cutOff.Load,
-	})
-	vm.elector = elector
+	}
+	change(&electorOptions, &rolloutOptions)
+	vm.elector = rollout.NewElector(electorOptions)
+	rolloutOptions.Elector = vm.elector
+	vm.rollout = rollout.New(rolloutOptions)
 	return vm
 }
 
@@ -70,6 +79,37 @@
 	vm.runUntil(t, 2)
 }
 
+// Guards against weights that stay old for seconds after the leader has lost the lease, while
+// the changes that it began still end.
+func TestLostLeaderIsReplacedSoon(t *testing.T) { synctest.Test(t, lostLeader) }
+
+func lostLeader(t *testing.T) {
+	const limit = 1500 * time.Millisecond
+	lostAt := time.Now()
+	vm := newTestVMWith(4, func(e *rollout.ElectorOptions, r *rollout.Options) {
+		e.HandoverDelay = 3 * time.Second
+		e.SteppedDown = func(holder string, incarnation int64, fence uint64) bool {
+			return holder == "b" && incarnation == 5 && fence == 7
+		}
+		r.Rank = func(time.Time) int { return 2 }
+		r.LeaderLost = func() (time.Time, bool) { return lostAt, true }
+	})
+	vm.store.lease = rollout.Lease{Holder: "b", Incarnation: 5, Fence: 7, Revision: 1}
+	vm.table.SetDesired(time.Now(), "m", 2)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() { // changes that the leader began still end
+		for ctx.Err() == nil {
+			vm.rollout.RecordProgress(time.Now())
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	vm.rollout.Run(ctx)
+	if diff := cmp.Diff(4, len(vm.engines.receivedOrders())); diff != "" {
+		t.Errorf("orders within %v of the loss (-want +got):\n%s", limit, diff)
+	}
+}
+
 // runUntil runs the VM until all engines have the version.
 func (vm *testVM) runUntil(t *testing.T, version int64) {
 	t.Helper()
