--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -1,14 +1,18 @@
 package node_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin"
 	"github.com/hibiscuscove/hibiscuscove/internal/standin/modelengine"
+	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 )
 
 const crashingText = "this text crashes engines"
@@ -92,16 +96,57 @@
 	}
 }
 
+// failedAttempts records the attempts that got no response, with their causes.
+type failedAttempts struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+// client returns a client that records its failed attempts.
+func (f *failedAttempts) client(*fleet) upstream.Client {
+	return recordingClient{engineapi.NewClient(engineapi.ClientOptions{}), f}
+}
+
+// String implements fmt.Stringer.
+func (f *failedAttempts) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lines.String()
+}
+
+type recordingClient struct {
+	*engineapi.Client
+	failed *failedAttempts
+}
+
+func (c recordingClient) Send(ctx context.Context, address string, call upstream.Call) (upstream.Response, error) {
+	sentAt := time.Now()
+	resp, err := c.Client.Send(ctx, address, call)
+	if err != nil {
+		c.failed.mu.Lock()
+		defer c.failed.mu.Unlock()
+		fmt.Fprintf(&c.failed.lines, "%s after %v: request %s, attempt %d at %s: %v: %v\n",
+			sentAt.Format("15:04:05.000"), time.Since(sentAt), call.Request, call.Attempt, address, err, errors.Unwrap(err))
+	}
+	return resp, err
+}
+
 // TestDataCentreCrash crashes all engines of a data centre within half a second
 // under load. No request may be quarantined for it, although requests that are
 // retried see several upstreams crash.
 func TestDataCentreCrash(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetOptions{nodes: 2, dep: standin.DeploymentOptions{
+	failed := &failedAttempts{}
+	f := newFleet(t, fleetOptions{nodes: 2, client: failed.client, dep: standin.DeploymentOptions{
 		Engines:     8,
 		DataCentres: []string{"dc-1", "dc-2"},
 		Engine:      modelengine.Options{TokenInterval: 20 * time.Millisecond},
 	}})
+	defer func() {
+		if t.Failed() {
+			t.Logf("attempts without a response:\n%s", failed)
+		}
+	}()
 	var wg sync.WaitGroup
 	bodies := make([]string, 40)
 	for i := range bodies {
