--- a/internal/beacon/builds_test.go
+++ b/internal/beacon/builds_test.go
@@ -2,60 +2,16 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
-	"reflect"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/sample"
 )
 
-// fill sets all exported fields of a value to sample values, which depend only on the order
-// of the fields: those of fields that were added last differ from none before them.
-func fill(target any) { fillValue(reflect.ValueOf(target).Elem(), new(int)) }
-
-func fillValue(v reflect.Value, n *int) {
-	*n++
-	switch v.Kind() {
-	case reflect.String:
-		v.SetString(fmt.Sprint("s", *n))
-	case reflect.Bool:
-		v.SetBool(true)
-	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
-		v.SetInt(int64(*n))
-	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
-		v.SetUint(uint64(*n))
-	case reflect.Float32, reflect.Float64:
-		v.SetFloat(float64(*n) / 2)
-	case reflect.Pointer:
-		v.Set(reflect.New(v.Type().Elem()))
-		fillValue(v.Elem(), n)
-	case reflect.Slice:
-		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
-		fillValue(v.Index(0), n)
-	case reflect.Array:
-		for i := range v.Len() {
-			fillValue(v.Index(i), n)
-		}
-	case reflect.Map:
-		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
-		fillValue(key, n)
-		fillValue(value, n)
-		v.Set(reflect.MakeMap(v.Type()))
-		v.SetMapIndex(key, value)
-	case reflect.Struct:
-		for i := range v.NumField() {
-			if v.Type().Field(i).IsExported() {
-				fillValue(v.Field(i), n)
-			}
-		}
-	default:
-	}
-}
-
 // fields decodes a datagram without its Go type.
 func fields(t *testing.T, raw []byte) map[uint64]any {
 	t.Helper()
@@ -99,7 +55,7 @@
 
 			// That build reads the fields that it knows and ignores the others.
 			var own beacon.Message
-			fill(&own)
+			sample.Fill(&own)
 			own.FactsFrom = ""
 			raw, err := beacon.Pack(own)
 			if err != nil {
