--- a/internal/beacon/join_test.go
+++ b/internal/beacon/join_test.go
@@ -140,3 +140,54 @@
 	wg.Wait()
 	time.Sleep(time.Second) // datagrams under way arrive
 }
+
+// Guards against address lists without end, of addresses that can't be used, or that a VM
+// would send to whoever asks.
+func TestAddressListsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &memoryNet{conns: make(map[string]*memoryConn), rng: rand.New(rand.NewPCG(1, 1))}
+		conn := network.listen("10.0.0.1:7340")
+		b := beacon.New(beacon.Options{Conn: conn, Now: time.Now, Log: zerolog.Nop(), Receive: func(time.Time, beacon.Message) {}, Compose: func(time.Time) beacon.Message {
+			return beacon.Message{Name: "self", Incarnation: 1, Address: "10.0.0.1:7340", State: beacon.Serving}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { b.Run(ctx) })
+		foreign := network.listen("10.9.9.9:7340")
+		send := func(m beacon.Message) {
+			raw, err := beacon.Pack(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = foreign.WriteTo(raw, net.UDPAddrFromAddrPort(conn.address))
+			time.Sleep(2 * datagramTime)
+		}
+		for i := range 300 {
+			list := []string{"", "no address", "10.0.0.1:99999", "10.0.0.1:7340"}
+			for j := range 100 {
+				list = append(list, fmt.Sprintf("10.%d.%d.1:7340", 1+i/100, i%100*2+j/50))
+			}
+			send(beacon.Message{FactsFrom: "foreign", Peers: list})
+		}
+		if n := b.KnownCount(); n > 2049 {
+			t.Errorf("%d VMs known, want 2049 at the most", n)
+		}
+		// A VM that claims to know nobody, again and again within one interval.
+		send(beacon.Message{Name: "other", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:7340", State: beacon.Serving, Known: 1})
+		for len(foreign.queue) > 0 {
+			<-foreign.queue
+		}
+		const asked = 90
+		for i := range asked {
+			send(beacon.Message{Name: "newcomer", Incarnation: 1, Sequence: uint64(i + 1), Address: "10.9.9.9:7340", State: beacon.Starting, Known: 1})
+		}
+		answers := len(foreign.queue)
+		// 64 of each interval, and the VM's own beacons.
+		if limit := 64 * 3; answers > limit || answers == 0 {
+			t.Errorf("%d datagrams for %d beacons, want 1 to %d", answers, asked, limit)
+		}
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Second) // datagrams under way arrive
+	})
+}
