internal/entryvm: a stopping VM takes no requests that may not end before it must

Cause: a VM that stops took requests until all look-ups that may name it had ended, 3.4 s after SIGTERM, and cut what was open 7.5 s after it. Streams that take more than four seconds were lost.

Change: new requests are rejected as not run after 0.35 of the time to stop, 2.8 s of 8 s, if look-ups have not ended before.

--- a/internal/entryvm/stop.go
+++ b/internal/entryvm/stop.go
@@ -16,6 +16,9 @@
 	// A drain ends at the latest killMargin before the platform would kill the VM.
 	killMargin        = 500 * time.Millisecond
 	drainPollInterval = 25 * time.Millisecond
+	// takingShare is the share of the time to stop in which a VM takes new requests. What it
+	// takes later may not have ended when the VM must.
+	takingShare = 0.35
 	// lastAnswersTimeout limits the time in which requests that are ended get their
 	// errors. It is well below killMargin.
 	lastAnswersTimeout = 150 * time.Millisecond
@@ -25,14 +28,19 @@
 // callers may use an old look-up, then rejects new requests.
 func (v *VM) stage(now time.Time) ingress.Stage {
 	at := v.drainStarted.Load()
-	switch {
-	case at == 0:
+	if at == 0 {
 		return ingress.Serving
-	case now.UnixNano()-at < int64(v.staleLookupPeriod()+drainMargin):
+	}
+	return StopStage(time.Duration(now.UnixNano()-at), v.staleLookupPeriod(), milliseconds(v.settings.StopMS))
+}
+
+// StopStage returns the stage of a VM that began to stop some time ago and must have ended
+// within stop, if callers may use a look-up that names it for staleLookup.
+func StopStage(since, staleLookup, stop time.Duration) ingress.Stage {
+	if since < min(staleLookup+drainMargin, time.Duration(takingShare*float64(stop))) {
 		return ingress.Draining
-	default:
-		return ingress.Closing
 	}
+	return ingress.Closing
 }
 
 // staleLookupPeriod returns how long after the VM has left the directory callers may
