--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -350,3 +350,37 @@
 		})
 	}
 }
+
+// Guards against a sound part that stays blocked for half a minute because a request that
+// also has the part that crashes engines was its trial.
+func TestSoundPartIsTriedWithoutTheOther(t *testing.T) {
+	parts := suspect.PartFingerprints("acme", "m", toParts([]string{"sound", "crashing"}))
+	sound, crashing := parts[:1], parts
+	tracker := suspect.NewTracker()
+	crash := func(at time.Time, engine int) {
+		for _, part := range parts {
+			tracker.RecordUnanswered(at, at, part, incarnation(engine, 0), true)
+		}
+		tracker.RecordEnded(at, []roster.Change{{Kind: roster.Removed, EndedIncarnation: incarnation(engine, 0)}})
+	}
+	for i := range 3 {
+		crash(start.Add(time.Duration(i)*400*time.Millisecond), i)
+	}
+	first := func(string) int { return 0 }
+	var got []string
+	for ms := 900; ms < 40_000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if _, blocked := tracker.Check(now, "a", crashing, first); !blocked {
+			got = append(got, "both")
+			crash(now.Add(time.Millisecond), 10+len(got))
+		}
+		if _, blocked := tracker.Check(now, "b", sound, first); !blocked {
+			got = append(got, "sound")
+			tracker.RecordCompleted(now, sound[0])
+			break
+		}
+	}
+	if diff := cmp.Diff([]string{"sound"}, got); diff != "" {
+		t.Errorf("trials until the sound part is clear (-want +got):\n%s", diff)
+	}
+}
