internal/suspect: trials of requests with several blocked parts are as they were

Cause: the ordinary requests there have two parts blocked, aa and bb, and those that crash engines one, aa; so the delay for a second blocked part makes a crashing request the trial of aa each time. Before, either may come first. Which of two requests is the better trial can't be told from the number of its blocked parts.

--- a/internal/suspect/trial.go
+++ b/internal/suspect/trial.go
@@ -18,9 +18,6 @@
 	// trialRankDelay is the time between the VMs that may make a trial. It is long
 	// enough for the news of one to reach the others.
 	trialRankDelay = time.Second
-	// severalPartsDelay is how much later a request is a trial for each further blocked part
-	// of its prompt.
-	severalPartsDelay = 5 * time.Second
 )
 
 // Finding is what speaks against a request.
@@ -57,11 +54,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// A trial that crashes an upstream counts against all parts of its prompt. So one with a
-	// single blocked part goes first: it may clear that part.
-	others := time.Duration(len(blocked) - 1)
 	for i, f := range blocked {
-		at := t.nextTrial(f.Fingerprint, f.Evidence.isUncertain()).Add(time.Duration(ranks[i])*trialRankDelay + others*severalPartsDelay)
+		at := t.nextTrial(f.Fingerprint, f.Evidence.isUncertain()).Add(time.Duration(ranks[i]) * trialRankDelay)
 		if f.RetryAfter = at.Sub(now); f.RetryAfter > 0 {
 			return f, true
 		}
