--- a/internal/entryvm/spread_test.go
+++ b/internal/entryvm/spread_test.go
@@ -160,8 +160,8 @@
 		apply = 2 * time.Second
 		// applyInLargeFleet is the same in the deployment of 195 VMs.
 		applyInLargeFleet = 4 * time.Second
-		calm  = 12 * time.Second
-		plays = 4
+		calm              = 12 * time.Second
+		plays             = 4
 	)
 	tests := map[string]spreadCase{
 		"8 VMs, silent connections":     {8, 0, false, contact},
