internal/keepalive, internal/relay: relayed connections notice that they have fallen silent

Callers left, and the runs of their requests went on, where a request went through another VM and the connection between the two VMs had fallen silent without a reset. Cause: nothing that the VM with the request closes reaches the VM in between, which reads the upstream's response to its end. The VM with the request waited until the deadline. Both ends now probe the connection each second and end it after 2.5 s without an acknowledgement (TCP_USER_TIMEOUT); a peer that only sends nothing still acknowledges. Counted as relay.silent, with a log line.

TestSilenceIsNoticed: an idle connection lasts, a silent one ends, a new one works. The stand-in waits until what it has written is acknowledged: else the system sends that again, which counts as a sign of life.

--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
@@ -119,7 +120,7 @@
 func (c *Connector) dialThrough(ctx context.Context, h Helper, u roster.Upstream, requestID string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout+helperMargin)
 	defer cancel()
-	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", h.Control)
+	conn, err := keepalive.Dialer().DialContext(ctx, "tcp", h.Control)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoHelper, err)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,16 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
@@ -76,26 +79,33 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	// The other VM may go without an end that arrives here, and the upstream would work on.
+	if err := keepalive.Set(conn); err != nil {
+		s.opts.Log.Warn().Err(err).Msg("relayed connection does not notice silence")
+	}
 	if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
 		return
 	}
 	s.count("served")
-	copied := make(chan struct{})
-	go func() {
-		defer close(copied)
-		copyRequest(upstream, conn, buffered.Reader)
-	}()
+	copied := make(chan error, 1)
+	go func() { copied <- copyRequest(upstream, conn, buffered.Reader) }()
 	observer := &headObserver{observe: func(resp exchange.Response) { s.opts.Observe(u, query.Get("request"), resp) }}
-	_ = writeFrames(conn, upstream, observer.add) // fails if the other VM has closed
+	err = writeFrames(conn, upstream, observer.add) // fails if the other VM has closed
 	// Closing before the whole request has been read would reset what was written.
 	select {
-	case <-copied:
+	case readErr := <-copied:
+		err = errors.Join(err, readErr)
 	case <-time.After(closeTimeout):
 	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		s.count("silent")
+		s.opts.Log.Warn().Str("upstream", u.ID).Str("request", query.Get("request")).Str("peer", r.RemoteAddr).Msg("relayed connection fell silent")
+	}
 }
 
-// copyRequest copies what the other VM sends until it closes, and closes both sides then.
-func copyRequest(upstream, conn net.Conn, buffered *bufio.Reader) {
+// copyRequest copies what the other VM sends until it closes, and closes both sides then. It
+// returns the error with which its side has ended.
+func copyRequest(upstream, conn net.Conn, buffered *bufio.Reader) error {
 	defer func() { _ = upstream.Close() }()
 	buffer := make([]byte, copyBufferBytes)
 	for {
@@ -103,15 +113,16 @@
 		if n > 0 {
 			if _, writeErr := upstream.Write(buffer[:n]); writeErr != nil {
 				// The upstream may have responded all the same: read until it ends.
-				_, _ = io.Copy(io.Discard, buffered)
-				break
+				_, err = io.Copy(io.Discard, buffered)
+				_ = conn.Close()
+				return err
 			}
 		}
 		if err != nil {
-			break
+			_ = conn.Close()
+			return err
 		}
 	}
-	_ = conn.Close()
 }
 
 // headObserver passes on the head of a response once it is complete.
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -14,7 +15,8 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
+	// mu is also held for reading while data are passed on.
+	mu    sync.RWMutex
 	conns map[*net.TCPConn]bool
 	// silenced holds the connections that are open and carry nothing more.
 	silenced map[*net.TCPConn]bool
@@ -68,7 +70,11 @@
 	}
 }
 
-// dropIncoming makes the system drop all packets that arrive for a connection.
+// ackTime is how long the system may take to acknowledge what has been written.
+const ackTime = 200 * time.Millisecond
+
+// dropIncoming makes the system drop all packets that arrive for a connection, once what was
+// written has been acknowledged: else the system would send it again and again.
 func dropIncoming(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -77,6 +83,11 @@
 	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
+		for end := time.Now().Add(ackTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if unacknowledged, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err != nil || unacknowledged == 0 {
+				break
+			}
+		}
 		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, syscall.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
 	if err == nil {
@@ -117,17 +128,13 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		l.mu.Lock()
-		silent := l.silenced[from]
-		l.mu.Unlock()
-		if silent {
-			return
-		}
-		if n > 0 {
+		l.mu.RLock()
+		if n > 0 && !l.silenced[from] {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
 		}
+		l.mu.RUnlock()
 		if err != nil {
 			break
 		}
