internal/entryvm, internal/pageserver: a download that goes on is not given up

Callers got answers by an outdated configuration: a VM with a small link and a fifth of a core did not get a large one from any peer. Cause: a whole download had 0.7 s, then it was given up and began anew at another peer, and what had arrived was lost, with its load on link and processor; a page of 100 kB takes longer beside requests, lost packets or a busy peer, each time.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -4,10 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -25,10 +22,6 @@
 )
 
 const (
-	peerTimeout = 700 * time.Millisecond
-	// maxPeerHeadBytes limits the head of a peer's response.
-	maxPeerHeadBytes = 16 << 10
-	maxSnapshotBytes = 16 << 20
 	// pagesLinkShare is the share of the VM's link that states sent to peers may take.
 	pagesLinkShare = 0.5
 	bytesPerMbit   = 1e6 / 8
@@ -197,82 +190,6 @@
 	}
 }
 
-// ownWatchGrace is how long fetchFromPeer waits for this VM's own watch to deliver
-// a newer state before it asks the peer.
-const ownWatchGrace = 150 * time.Millisecond
-
-// fetchFromPeer starts a download of a collection from a peer that has a newer
-// position. It does nothing if this VM's own watch delivers that position first,
-// or if a download of the collection is running.
-func fetchFromPeer[T any](v *VM, collection string, m beacon.Message, theirs registry.Position, f *registry.Follower[T]) {
-	own := f.Position()
-	if !own.Before(theirs) {
-		return
-	}
-	v.startFetch(collection, func() {
-		time.Sleep(ownWatchGrace)
-		if since := f.Position(); since.Before(theirs) {
-			var page registry.Page[T]
-			err := v.fetchPage(m.Control, collection, since, &page)
-			if errors.Is(err, errPeerBusy) {
-				metrics.GetOrRegisterCounter("peer_fetches.busy", v.metrics).Inc(1)
-				return
-			}
-			applied := err == nil && f.Offer(v.opts.Now(), page)
-			v.log.Info().Str("collection", collection).Str("peer", m.Name).Uint64("theirs", theirs.Revision).
-				Uint64("own", own.Revision).Uint64("era", theirs.Era).Bool("taken", applied).AnErr("error", err).Msg("state fetched from a peer")
-		}
-	})
-}
-
-// newPeerClient returns the client that fetches states from other VMs. Fetches are rare,
-// and each has a connection of its own: kept ones may have fallen silent, all at once.
-func newPeerClient() *http.Client {
-	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
-}
-
-// startFetch runs a download of a collection in a goroutine, unless one is running.
-func (v *VM) startFetch(collection string, fetch func()) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.fetching[collection] {
-		return
-	}
-	v.fetching[collection] = true
-	go func() {
-		defer func() {
-			v.mu.Lock()
-			defer v.mu.Unlock()
-			delete(v.fetching, collection)
-		}()
-		fetch()
-	}()
-}
-
-// errPeerBusy means that a peer is sending the collection to others. The next beacon of
-// a VM that has it starts another download.
-var errPeerBusy = errors.New("peer is busy with other downloads")
-
-func (v *VM) fetchPage(control, collection string, since registry.Position, page any) error {
-	query := url.Values{"since": {strconv.FormatUint(since.Revision, 10)}, "era": {strconv.FormatUint(since.Era, 10)}}
-	resp, err := v.peerClient.Get("http://" + control + "/v1/collections/" + collection + "?" + query.Encode())
-	if err != nil {
-		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusServiceUnavailable:
-		return fmt.Errorf("entryvm: fetch %s: %w", collection, errPeerBusy)
-	default:
-		return fmt.Errorf("entryvm: fetch %s: status %d", collection, resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshotBytes)).Decode(page); err != nil {
-		return fmt.Errorf("entryvm: fetch %s: %w", collection, err)
-	}
-	return nil
-}
-
 // controlHandler returns the handler of the control address, which other VMs and
 // operators use.
 func (v *VM) controlHandler() http.Handler {
--- a/internal/entryvm/retained.go
+++ b/internal/entryvm/retained.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -47,25 +48,26 @@
 	if c := v.configuration.Current(); m.Retained == 0 || c != nil && c.Version() >= m.Retained {
 		return
 	}
-	v.startFetch(retainedCollection, func() {
+	v.startFetch(retainedCollection, m.Name, func(ctx context.Context) bool {
 		var page registry.Page[routing.Document]
-		err := v.fetchPage(m.Control, retainedCollection, registry.Position{}, &page)
+		_, err := v.fetchPage(ctx, m.Control, retainedCollection, registry.Position{}, &page)
 		if err != nil || len(page.Items) == 0 {
 			// The next beacon starts another download.
 			defer time.Sleep(retainedRetryDelay)
 		}
-		if errors.Is(err, errPeerBusy) {
+		if errors.Is(err, pageserver.ErrBusy) {
 			metrics.GetOrRegisterCounter("peer_fetches.busy", v.metrics).Inc(1)
-			return
+			return false
 		}
 		if err != nil || len(page.Items) == 0 {
 			v.log.Warn().Str("peer", m.Name).AnErr("error", err).Msg("retained configuration not fetched")
-			return
+			return false
 		}
 		c := routing.New(page.Revision, page.Items[0].Value).WithEra(page.Era)
 		if v.configuration.Retain(c) {
 			v.applyServices(c)
 			v.log.Info().Str("peer", m.Name).Int64("version", c.Version()).Uint64("era", c.Era()).Msg("configuration of an earlier era in force")
 		}
+		return true
 	})
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -48,6 +48,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
+	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
@@ -129,7 +130,8 @@
 	cacheFollower         *cacheevents.Follower
 	beacon                *beacon.Beacon
 	packetConn            net.PacketConn
-	peerClient            *http.Client
+	pageClient            *pageserver.Client
+	downloads             *downloads
 	permitClient          *http.Client
 	streamsClient         *http.Client
 	metrics               metrics.Registry
@@ -155,8 +157,6 @@
 	// sentByBeacon holds the prompts sent to upstreams that the last beacons
 	// announced, with one element per beacon.
 	sentByBeacon [][]roster.Sent
-	// fetching holds the collections that are being downloaded from a peer.
-	fetching map[string]bool
 }
 
 // New returns a VM with its addresses open. It also sets the garbage collector's
@@ -175,8 +175,8 @@
 		ejections:     health.NewEjections(s.Name),
 		paths:         relay.NewPaths(),
 		metrics:       metrics.NewRegistry(),
-		peerClient:    newPeerClient(),
-		fetching:      make(map[string]bool),
+		pageClient:    newPageClient(newPeerClient()),
+		downloads:     newDownloads(),
 		dialer:        exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: milliseconds(s.ConnectTimeoutMS), Dial: opts.DialUpstream}),
 	}
 	v.watchers = watchers.New(watchers.Options{Name: s.Name, Incarnation: v.incarnation, LinkMbps: int(s.LinkMbps), StartedAt: v.startedAt})
--- a/internal/pageserver/pageserver.go
+++ b/internal/pageserver/pageserver.go
@@ -10,6 +10,11 @@
 //		pages.Serve(w, r, func() (pageserver.Key, any) { return key, page })
 //	}
 //
+// At the VM that asks:
+//
+//	client := pageserver.NewClient(pageserver.ClientOptions{HTTP: http, MaxSilence: time.Second, ...})
+//	n, err := client.Get(ctx, url, &page)
+//
 // A Server and its Pages are safe for concurrent use.
 package pageserver
 
@@ -85,7 +90,7 @@
 func (p *Pages) Serve(w http.ResponseWriter, r *http.Request, current func() (Key, any)) {
 	body, delay, err := p.reserve(current)
 	switch {
-	case errors.Is(err, errBusy):
+	case errors.Is(err, ErrBusy):
 		p.count("refused", 1)
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -109,10 +114,8 @@
 	}
 }
 
-var errBusy = errors.New("pageserver: busy with other downloads")
-
 // reserve returns the page that current returns as compressed JSON, and the delay after
-// which it may be sent. The error is errBusy if that is too long. Requests wait for the one
+// which it may be sent. The error is ErrBusy if that is too long. Requests wait for the one
 // whose page is being encoded, so that of many at once only those read the state that
 // may get it.
 func (p *Pages) reserve(current func() (Key, any)) (body []byte, delay time.Duration, err error) {
@@ -120,14 +123,14 @@
 	defer p.mu.Unlock()
 	pacer, now := p.server.pacer, p.server.opts.Now
 	if !pacer.Free(now(), maxWait) {
-		return nil, 0, errBusy
+		return nil, 0, ErrBusy
 	}
 	if body, err = p.encode(current()); err != nil {
 		return nil, 0, err
 	}
 	delay, ok := pacer.Reserve(now(), len(body), maxWait)
 	if !ok {
-		return nil, 0, errBusy // pages of another collection have taken its place
+		return nil, 0, ErrBusy // pages of another collection have taken its place
 	}
 	return body, delay, nil
 }
