internal/entryvm, internal/keepalive: calls to other VMs lose at most one silent connection

The same cause elsewhere: questions for streams that are taken up have 100 ms and went out on up to eight kept connections to each VM, without end; after all had fallen silent take-ups were refused until each had failed. Permits likewise, 0.7 s for each.

TestSilentConnectionsDelayNoFetch has two more cases: 4 of 4 calls failed in both before; now none for streams, one for permits.

--- a/internal/entryvm/export_test.go
+++ b/internal/entryvm/export_test.go
@@ -23,5 +23,9 @@
 	return 0
 }
 
-// NewPeerClient returns the client that fetches states from other VMs.
-var NewPeerClient = newPeerClient
+// The clients of other VMs: for states, streams and permits.
+var (
+	NewPeerClient    = newPeerClient
+	NewStreamsClient = newStreamsClient
+	NewPermitClient  = newPermitClient
+)
--- a/internal/entryvm/limits.go
+++ b/internal/entryvm/limits.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 )
 
@@ -22,6 +23,8 @@
 	maxPermitBytes = 4 << 10
 	// maxPermitConns is the number of idle connections kept to each issuer.
 	maxPermitConns = 8
+	// maxPermitIdle is how long such a connection is kept. Issuers are asked twice a second.
+	maxPermitIdle = 5 * time.Second
 	// knownVMsPeriod is how long a VM that has started counts all VMs that the store
 	// lists: it has not heard from all that run.
 	knownVMsPeriod = 30 * time.Second
@@ -29,8 +32,15 @@
 
 var errUnknownVM = errors.New("entryvm: the VM is not known any more")
 
+// newPermitClient returns the client that asks other VMs for permits, which it does often
+// while a limit is in force.
+func newPermitClient() *http.Client {
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxPermitConns, IdleConnTimeout: maxPermitIdle, MaxResponseHeaderBytes: maxPeerHeadBytes}
+	return &http.Client{Timeout: peerTimeout, Transport: keepalive.Pool{Transport: pooled}}
+}
+
 func (v *VM) buildLimits() {
-	v.permitClient = &http.Client{Timeout: peerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxPermitConns, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	v.permitClient = newPermitClient()
 	v.limits = permit.NewAgent(permit.AgentOptions{
 		Name: v.settings.Name, Process: v.incarnation, Now: v.opts.Now, FleetSize: v.fleetSize,
 		Candidates: v.issuerCandidates, Exchange: v.exchangePermit, Log: v.log,
--- a/internal/entryvm/peerclient_test.go
+++ b/internal/entryvm/peerclient_test.go
@@ -12,11 +12,27 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/entryvm"
 )
 
-// Guards against states that are fetched late from peers, because kept connections to
-// each of them have fallen silent and are given up one after the other.
+// Guards against states, streams and permits that are late, because kept connections to
+// other VMs have fallen silent and are given up one after the other.
 func TestSilentConnectionsDelayNoFetch(t *testing.T) {
+	tests := map[string]struct {
+		client func() *http.Client
+		// lost is the number of calls that may get no answer once connections are silent.
+		lost int
+	}{
+		"states":  {entryvm.NewPeerClient, 0},
+		"streams": {entryvm.NewStreamsClient, 0},
+		"permits": {entryvm.NewPermitClient, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { callSilentPeers(t, test.client(), test.lost) })
+	}
+}
+
+// callSilentPeers calls four peers twice, whose connections answer once only.
+func callSilentPeers(t *testing.T, client *http.Client, lost int) {
+	t.Helper()
 	const peers = 4
-	client := entryvm.NewPeerClient()
 	silent := make(chan struct{})
 	var addresses []string
 	for range peers {
@@ -51,7 +67,7 @@
 		}
 		return failed
 	}
-	if diff := cmp.Diff([2]int{0, 0}, [2]int{fetch(), fetch()}); diff != "" {
+	if diff := cmp.Diff([2]int{0, lost}, [2]int{fetch(), fetch()}); diff != "" {
 		t.Errorf("failed fetches, on new connections and later (-want +got):\n%s", diff)
 	}
 }
--- a/internal/entryvm/streams.go
+++ b/internal/entryvm/streams.go
@@ -19,12 +19,16 @@
 	streamsPath = "/v1/streams"
 	// maxStreamsBytes limits a question for a stream and its answer.
 	maxStreamsBytes = 16 << 10
-	// maxStreamsConns is the number of idle connections kept to each VM.
-	maxStreamsConns = 8
 )
 
+// newStreamsClient returns the client that asks other VMs for streams. Each question has a
+// connection of its own: there is no time to find out that a kept one has fallen silent.
+func newStreamsClient() *http.Client {
+	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+}
+
 func (v *VM) buildStreams() {
-	v.streamsClient = &http.Client{Timeout: peerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxStreamsConns}}
+	v.streamsClient = newStreamsClient()
 	v.streams = lineage.NewAgent(lineage.AgentOptions{
 		Now: v.opts.Now, Peers: v.streamPeers, Ask: v.askForStream, Log: v.log,
 		Send: func(vm string, facts []lineage.Fact) { v.beacon.SendStreams(v.settings.Name, vm, facts) },
