internal/objectstore: a lost call to the own API's store costs one silent connection

TestSilentConnectionsCostOneCall: with four kept calls 0 to 3 of eight failed before, now only the first one.

--- a/internal/objectstore/httpstore.go
+++ b/internal/objectstore/httpstore.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 )
 
 const (
@@ -54,12 +56,12 @@
 	if opts.WatchTimeout <= 0 {
 		opts.WatchTimeout = defaultWatchTimeout
 	}
-	transport := &http.Transport{
+	transport := keepalive.Pool{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    32,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}}
 	return &HTTPStore{
 		opts:   opts,
 		client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
