--- a/internal/entryvm/export_test.go
+++ b/internal/entryvm/export_test.go
@@ -29,3 +29,12 @@
 	NewStreamsClient = newStreamsClient
 	NewPermitClient  = newPermitClient
 )
+
+// UpstreamIDs returns the IDs of the upstreams that the VM knows.
+func (v *VM) UpstreamIDs() []string {
+	var ids []string
+	for _, u := range v.upstreams.All() {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
