internal/engineapi: every call to an upstream has a connection of its own

Own API: an upstream that wrote an earlier refusal once more on a kept connection made the router tell callers "not run" for a request that was running; an earlier answer was passed on to another caller. Cause: repeatable calls used pooled connections, on which the transport takes whatever arrives next for the response to the next call. All calls use connections of their own now, as those that must not be repeated did, and as the users' platform's do; the field Call.Repeatable is gone.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -56,8 +56,6 @@
 const (
 	defaultDialTimeout  = 1500 * time.Millisecond
 	defaultProbeTimeout = 500 * time.Millisecond
-	defaultIdleTimeout  = 4 * time.Second
-	maxIdlePerUpstream  = 64
 	maxReportBytes      = 64 << 10
 	maxHeaderBytes      = 64 << 10
 )
@@ -70,19 +68,15 @@
 	// ProbeTimeout limits the duration of a probe or a cancellation. The default
 	// is 500 ms.
 	ProbeTimeout time.Duration
-	// IdleTimeout is how long an idle connection stays open. The default is 4 s.
-	IdleTimeout time.Duration
 }
 
 // Client implements upstream.Client.
 type Client struct {
 	opts ClientOptions
-	// pooled reuses connections. It is for calls that may be sent twice, because
-	// the transport may retry a call on another connection.
-	pooled *http.Client
-	// fresh opens a connection for each call, so that the transport never
-	// retries a call by itself.
-	fresh *http.Client
+	// client opens a connection for each call. So late and repeated responses of an
+	// upstream never count as those to another call, and the transport never retries a
+	// call by itself.
+	client *http.Client
 }
 
 var _ upstream.Client = (*Client)(nil)
@@ -91,26 +85,13 @@
 func NewClient(opts ClientOptions) *Client {
 	opts.DialTimeout = orDefault(opts.DialTimeout, defaultDialTimeout)
 	opts.ProbeTimeout = orDefault(opts.ProbeTimeout, defaultProbeTimeout)
-	opts.IdleTimeout = orDefault(opts.IdleTimeout, defaultIdleTimeout)
-	dial := (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
-	pooled := &http.Transport{
-		DialContext:            dial,
-		IdleConnTimeout:        opts.IdleTimeout,
-		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-	}
-	fresh := &http.Transport{
-		DialContext:            dial,
+	transport := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
-	return &Client{
-		opts:   opts,
-		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
-		fresh:  &http.Client{Transport: fresh, CheckRedirect: noRedirect},
-	}
+	return &Client{opts: opts, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
 func orDefault(d, defaultValue time.Duration) time.Duration {
@@ -124,9 +105,6 @@
 // request a second time.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
-
 // Send implements upstream.Client.
 func (c *Client) Send(ctx context.Context, address string, call upstream.Call) (upstream.Response, error) {
 	body, err := withContinuation(call)
@@ -142,13 +120,9 @@
 		r.Header = call.Header.Clone()
 	}
 	setCallHeaders(r.Header, call)
-	client := c.pooled
-	if !call.Repeatable {
-		// Without GetBody the transport can't send the request a second time.
-		r.GetBody = nil
-		client = c.fresh
-	}
-	resp, err := client.Do(r)
+	// Without GetBody the transport can't send the request a second time.
+	r.GetBody = nil
+	resp, err := c.client.Do(r)
 	if err != nil {
 		return upstream.Response{}, sendError(err, connected.Load())
 	}
@@ -256,7 +230,7 @@
 	if lastIndex >= 0 {
 		r.Header.Set("Last-Event-ID", stream.Tag{Request: call.Request, Attempt: call.Attempt, Index: lastIndex}.String())
 	}
-	resp, err := c.fresh.Do(r)
+	resp, err := c.client.Do(r)
 	if err != nil {
 		return upstream.Response{}, verdict.FromError(sendError(err, connected.Load())).WithVerdict(verdict.MayHaveRun)
 	}
@@ -275,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.fresh.Do(r)
+	resp, err := c.client.Do(r)
 	if err != nil {
 		return fmt.Errorf("engineapi: cancel: %w", err)
 	}
@@ -303,7 +277,7 @@
 	if err != nil {
 		return upstream.Report{}, fmt.Errorf("engineapi: probe: %w", err)
 	}
-	resp, err := c.fresh.Do(r)
+	resp, err := c.client.Do(r)
 	if err != nil {
 		return upstream.Report{}, fmt.Errorf("engineapi: probe: %w", err)
 	}
@@ -328,8 +302,8 @@
 	return nil
 }
 
-// drainAndClose reads the rest of the body, up to maxReportBytes, so that the
-// connection can be reused, and closes the body.
+// drainAndClose reads the rest of the body, up to maxReportBytes, so that the upstream's
+// writes don't fail, and closes the body.
 func drainAndClose(body io.ReadCloser) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxReportBytes))
 	_ = body.Close()
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -277,7 +277,6 @@
 		Header:         forwardedHeader(j.r.Header),
 		Body:           j.body,
 		Level:          j.level,
-		Repeatable:     j.route.Idempotent,
 		WeightsVersion: j.weightsVersion,
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -70,8 +70,6 @@
 	Body   []byte
 	// Level is the priority. 0 is the highest.
 	Level int
-	// Repeatable says that it is safe for the upstream to receive the call twice.
-	Repeatable bool
 	// ContinueFrom is the text of a partial response that the upstream continues.
 	// It is empty for a new response.
 	ContinueFrom string
