--- a/internal/entryvm/download.go
+++ b/internal/entryvm/download.go
@@ -108,8 +108,9 @@
 // fetchFromPeer starts a download of a collection from a peer that has a newer
 // position. It does nothing if this VM's own watch delivers that position first,
 // or if a download of the collection is running and goes well.
-func fetchFromPeer[T any](v *VM, collection string, m beacon.Message, theirs registry.Position, f *registry.Follower[T]) {
+func fetchFromPeer[T any](v *VM, collection string, m beacon.Message, theirs registry.Position, f *registry.Follower[T], l *lag) {
 	own := f.Position()
+	l.Observe(v.opts.Now(), own, theirs)
 	if !own.Before(theirs) {
 		return
 	}
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -151,9 +151,9 @@
 	}
 	v.fetchRetained(m)
 	configuration, upstreams, versions := m.Revisions.Positions()
-	fetchFromPeer(v, "configurations", m, configuration, v.configurationFollower)
-	fetchFromPeer(v, "upstreams", m, upstreams, v.upstreamFollower)
-	fetchFromPeer(v, "versions", m, versions, v.versionFollower)
+	fetchFromPeer(v, "configurations", m, configuration, v.configurationFollower, &v.lags.configurations)
+	fetchFromPeer(v, "upstreams", m, upstreams, v.upstreamFollower, &v.lags.upstreams)
+	fetchFromPeer(v, "versions", m, versions, v.versionFollower, &v.lags.versions)
 }
 
 // mergeDesiredAges applies another VM's record of how long each version has been
--- a/internal/entryvm/slowfetch_test.go
+++ b/internal/entryvm/slowfetch_test.go
@@ -8,6 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,9 +42,9 @@
 	return b.Bytes()
 }
 
-// announce sends beacons of a peer that has a newer configuration until the test ends.
-// serve serves its pages.
-func announce(t *testing.T, target, ip string, serve http.HandlerFunc) {
+// announce sends beacons of a peer that watches the store and has a revision of the
+// configuration until the test ends. serve serves its pages.
+func announce(t *testing.T, target, ip string, revision *atomic.Uint64, serve http.HandlerFunc) {
 	t.Helper()
 	control, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -59,7 +62,8 @@
 		for sequence := uint64(1); t.Context().Err() == nil; sequence++ {
 			raw, err := beacon.Pack(beacon.Message{
 				Name: ip, Incarnation: 1, Sequence: sequence, Address: ip + ":9", Control: control.Addr().String(), DataCentre: "sur-a", State: beacon.Serving,
-				Revisions: beacon.NewRevisions(registry.Position{Revision: 9}, registry.Position{}, registry.Position{}),
+				Revisions: beacon.NewRevisions(registry.Position{Revision: revision.Load()}, registry.Position{}, registry.Position{}),
+				Watching:  true, LinkMbps: 100_000,
 			})
 			if err != nil {
 				t.Error(err)
@@ -81,12 +85,13 @@
 	}
 }
 
+// configTime is the users' limit for a configuration to be in force in a large fleet.
+const configTime = 3 * time.Second
+
 // Guards against CONFIG: a VM gave up each download of a large configuration that took
 // longer than 0.7 s and began anew, so that it never had it.
 func TestSlowDownloadsArrive(t *testing.T) {
 	t.Parallel()
-	// configTime is the users' limit for a configuration to be in force in a large fleet.
-	const configTime = 3 * time.Second
 	page := compressedPage(t, 4200)
 	slow := func(w http.ResponseWriter, _ *http.Request) { sendSlowly(w, page, 24, 50*time.Millisecond) }
 	tests := map[string]struct {
@@ -111,8 +116,10 @@
 			ports := freePorts(t, ip)
 			vm, _ := startVM(t, ports, test.number)
 			started := time.Now()
+			var revision atomic.Uint64
+			revision.Store(9)
 			for i, serve := range test.peers {
-				announce(t, fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("127.0.78.%d", 10*test.number%250+i), serve)
+				announce(t, fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("127.0.78.%d", 10*test.number%250+i), &revision, serve)
 				time.Sleep(300 * time.Millisecond)
 			}
 			for vm.ConfigurationVersion() != 15 && time.Since(started) < 2*configTime {
@@ -124,3 +131,54 @@
 		})
 	}
 }
+
+// Guards against CONFIG: a VM that does not watch the store heard of a version, and no peer
+// had time to send it.
+func TestOverdueStateIsReadFromTheStore(t *testing.T) {
+	t.Parallel()
+	const ip, fleet = "127.0.77.34", 14
+	ports := freePorts(t, ip)
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, ports[5]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var revision atomic.Uint64
+	revision.Store(5)
+	store := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) // 0 for lists
+		for end := time.Now().Add(time.Duration(waitMS) * time.Millisecond); time.Now().Before(end) && revision.Load() == 5; {
+			time.Sleep(5 * time.Millisecond)
+		}
+		config := ""
+		if strings.HasSuffix(r.URL.Path, "/config") && revision.Load() == 9 {
+			config = strings.Replace(configurationOf(2), `"version":7`, `"version":15`, 1)
+		} else if strings.HasSuffix(r.URL.Path, "/config") && waitMS == 0 {
+			config = strings.Replace(configurationOf(2), `"revision":9`, `"revision":5`, 1)
+		}
+		if waitMS == 0 {
+			_, _ = fmt.Fprintf(w, `{"store_revision":%d,"items":[%s]}`, revision.Load(), config)
+			return
+		}
+		if config != "" {
+			config = `{"object":` + config + `}`
+		}
+		_, _ = fmt.Fprintf(w, `{"store_revision":%d,"events":[%s]}`, revision.Load(), config)
+	})}
+	go func() { _ = store.Serve(listener) }()
+	t.Cleanup(func() { _ = store.Close() })
+	vm, _ := startVM(t, ports, 34)
+	waitFor(t, "the first configuration", func() bool { return vm.ConfigurationVersion() == 7 })
+	busy := func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "busy", http.StatusServiceUnavailable) }
+	for i := range fleet {
+		announce(t, fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("127.0.79.%d", 1+i), &revision, busy)
+	}
+	time.Sleep(5 * time.Second) // watches under way end, and the VM leaves them to the others
+	revision.Store(9)
+	started := time.Now()
+	for vm.ConfigurationVersion() != 15 && time.Since(started) < 2*configTime {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(started); took > configTime {
+		t.Errorf("version %d in force after %v, want 15 within %v", vm.ConfigurationVersion(), took, configTime)
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -132,6 +132,7 @@
 	packetConn            net.PacketConn
 	pageClient            *pageserver.Client
 	downloads             *downloads
+	lags                  struct{ configurations, upstreams, versions lag }
 	permitClient          *http.Client
 	streamsClient         *http.Client
 	metrics               metrics.Registry
@@ -208,13 +209,16 @@
 
 func (v *VM) buildFollowers() {
 	v.configurationFollower = registry.NewFollower(registry.Options[routing.Document]{
-		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, MaxSilence: v.maxStoreSilence, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
+		Name: "configurations", Feed: v.store.Configurations(), Sink: configurationSink{v}, MaxSilence: v.maxStoreSilence, Now: v.opts.Now, Log: v.log,
+		ShouldWatch: v.shouldWatchFor("configurations", &v.lags.configurations, func() registry.Position { return v.configurationFollower.Position() }),
 	})
 	v.upstreamFollower = registry.NewFollower(registry.Options[roster.Upstream]{
-		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, MaxSilence: v.maxStoreSilence, CollectInterval: v.upstreamCollectInterval, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
+		Name: "upstreams", Feed: v.store.Upstreams(), Sink: upstreamSink{v}, MaxSilence: v.maxStoreSilence, CollectInterval: v.upstreamCollectInterval, Now: v.opts.Now, Log: v.log,
+		ShouldWatch: v.shouldWatchFor("upstreams", &v.lags.upstreams, func() registry.Position { return v.upstreamFollower.Position() }),
 	})
 	v.versionFollower = registry.NewFollower(registry.Options[platform.DesiredVersion]{
-		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, ShouldWatch: v.shouldWatch, Log: v.log,
+		Name: "versions", Feed: v.store.Versions(), Sink: versionSink{v}, Now: v.opts.Now, Log: v.log,
+		ShouldWatch: v.shouldWatchFor("versions", &v.lags.versions, func() registry.Position { return v.versionFollower.Position() }),
 	})
 }
 
