--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -70,8 +70,9 @@
 	}
 }
 
-// ackTime is how long the system may take to acknowledge what has been written.
-const ackTime = 200 * time.Millisecond
+// maxAckChecks is the number of checks, a millisecond apart, for what has been written to be
+// acknowledged.
+const maxAckChecks = 200
 
 // dropIncoming makes the system drop all packets that arrive for a connection, once what was
 // written has been acknowledged: else the system would send it again and again.
@@ -83,10 +84,11 @@
 	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
-		for end := time.Now().Add(ackTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for range maxAckChecks {
 			if unacknowledged, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err != nil || unacknowledged == 0 {
 				break
 			}
+			time.Sleep(time.Millisecond)
 		}
 		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, syscall.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
