--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -1,7 +1,8 @@
 // Package keepalive notices TCP connections that have fallen silent: the path drops all
 // packets, and no end ever arrives. Nothing but probes and unacknowledged data tell such a
 // connection from an idle one. A peer whose process sends nothing still acknowledges, so that
-// its connections last.
+// its connections last. One that does not read counts as silent too, once more waits to be
+// sent than the buffers of both systems hold.
 //
 // # Usage
 //
