internal/beacon: calls and notices between two VMs by datagram

Cause: quotas and dispatchers need an answer from one other VM for each request. Change: Call and Notify use the beacons' socket. Builds that do not know such messages ignore them, since they have no name; key 37 says who serves them. Nothing calls them yet.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -152,6 +152,10 @@
 	LetGo *leader.LetGo `json:"let_go,omitempty" cbor:"34,keyasint,omitempty"`
 	// Leader is the last VM that led the rollout, as far as the sender knows.
 	Leader *leader.Leading `json:"leader,omitempty" cbor:"35,keyasint,omitempty"`
+	// Direct is set in a message from Call or Notify, which carries nothing else.
+	Direct *Direct `json:"-" cbor:"36,keyasint,omitempty"`
+	// Calls is set if the sender serves direct messages.
+	Calls bool `json:"calls,omitempty" cbor:"37,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
@@ -195,8 +199,11 @@
 	maxAddresses = 2048
 )
 
-// Options configures a Beacon. All but Interval, ReceiveStreams and Log are required.
+// Options configures a Beacon. All but Name, Interval, ReceiveStreams, Serve and Log are
+// required.
 type Options struct {
+	// Name is the name of this VM. It is required for direct messages.
+	Name string
 	// Conn sends and receives the datagrams.
 	Conn net.PacketConn
 	Now  func() time.Time
@@ -208,7 +215,10 @@
 	Receive func(now time.Time, m Message)
 	// ReceiveStreams is called with each message from SendStreams. Nil ignores them.
 	ReceiveStreams func(now time.Time, m Message)
-	Log            zerolog.Logger
+	// Serve handles a direct message of another VM and returns the reply to it, nil for
+	// none. It runs on the goroutine that receives all datagrams. Nil serves none.
+	Serve func(now time.Time, from, kind string, body []byte) []byte
+	Log   zerolog.Logger
 }
 
 // Beacon sends the beacons of one VM and receives those of the others.
@@ -226,6 +236,9 @@
 	roundRobin RoundRobin[netip.AddrPort]
 	// answers is the number of address lists sent since the last beacon.
 	answers int
+	// calls holds the calls that wait for a reply, by ID. nextCall is the last ID used.
+	calls    map[uint64]pendingCall
+	nextCall uint64
 }
 
 // addressState is what is known of an address at which a VM may run.
@@ -244,7 +257,7 @@
 	if opts.Interval <= 0 {
 		opts.Interval = DefaultInterval
 	}
-	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]*addressState), near: make(map[string]bool)}
+	return &Beacon{opts: opts, peers: make(map[string]*Peer), addresses: make(map[string]*addressState), near: make(map[string]bool), calls: make(map[uint64]pendingCall)}
 }
 
 // Add adds an IP address with a port at which a VM may run. Invalid addresses are
@@ -377,6 +390,7 @@
 	b.answers = 0
 	m.Sequence = b.sequence
 	m.Known = b.knownCount()
+	m.Calls = b.opts.Serve != nil
 	targets := b.targets(now)
 	if b.sequence%peersEvery == 0 {
 		m.Peers = b.peerAddresses(now, maxPeersListed)
@@ -541,7 +555,7 @@
 func (b *Beacon) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := b.opts.Conn.ReadFrom(buffer)
+		n, from, err := b.opts.Conn.ReadFrom(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -555,6 +569,8 @@
 		}
 		now := b.opts.Now()
 		switch {
+		case m.Direct != nil:
+			b.handleDirect(now, from, m.Direct)
 		case m.FactsFrom != "":
 			b.mu.Lock()
 			b.addVouched(now, m.Peers)
--- a/internal/beacon/packet.go
+++ b/internal/beacon/packet.go
@@ -50,6 +50,12 @@
 	if err := cbor.Unmarshal(datagram, &m); err != nil {
 		return Message{}, fmt.Errorf("beacon: unpack: %w", err)
 	}
+	if m.Direct != nil {
+		if m.Direct.From == "" {
+			return Message{}, errNoName
+		}
+		return Message{Name: m.Direct.From, Direct: m.Direct}, nil
+	}
 	if m.FactsFrom != "" {
 		return Message{Name: m.FactsFrom, FactsFrom: m.FactsFrom, Peers: m.Peers, Streams: m.Streams}, nil
 	}
--- /dev/null
+++ b/internal/entryvm/direct.go
@@ -0,0 +1,26 @@
+package entryvm
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// directHandler handles a direct message of another VM and returns the reply, nil for none.
+type directHandler func(now time.Time, from string, body []byte) []byte
+
+// directHandlers returns the handlers of direct messages by their kind.
+func (v *VM) directHandlers() map[string]directHandler {
+	return map[string]directHandler{}
+}
+
+// serveDirect handles a direct message of another VM. Kinds that this build does not know
+// get no reply.
+func (v *VM) serveDirect(now time.Time, from, kind string, body []byte) []byte {
+	handle, known := v.direct[kind]
+	if !known {
+		metrics.GetOrRegisterCounter("direct.unknown", v.metrics).Inc(1)
+		return nil
+	}
+	return handle(now, from, body)
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -130,6 +130,7 @@
 	cacheFollower         *cacheevents.Follower
 	beacon                *beacon.Beacon
 	packetConn            net.PacketConn
+	direct                map[string]directHandler
 	pageClient            *pageserver.Client
 	downloads             *downloads
 	lags                  struct{ configurations, upstreams, versions lag }
@@ -204,6 +205,7 @@
 	v.cacheFollower = cacheevents.New(cacheevents.Options{
 		Source: events, Upstreams: v.upstreams, Now: v.opts.Now, FollowShare: v.followShare, Log: v.log,
 	})
+	v.direct = v.directHandlers()
 	return v, v.buildServers()
 }
 
@@ -232,7 +234,10 @@
 		return fmt.Errorf("entryvm: %w", err)
 	}
 	v.packetConn = conn
-	v.beacon = beacon.New(beacon.Options{Conn: conn, Now: v.opts.Now, Compose: v.composeBeacon, Receive: v.handleBeacon, ReceiveStreams: v.receiveStreams, Log: v.log})
+	v.beacon = beacon.New(beacon.Options{
+		Name: v.settings.Name, Conn: conn, Now: v.opts.Now, Compose: v.composeBeacon, Receive: v.handleBeacon,
+		ReceiveStreams: v.receiveStreams, Serve: v.serveDirect, Log: v.log,
+	})
 	v.addSeeds(v.settings)
 	return nil
 }
