--- a/internal/permit/agent.go
+++ b/internal/permit/agent.go
@@ -170,7 +170,7 @@
 	if withdraw {
 		d.triedAt = now
 	} else {
-		q.Stamp = d.prepare(now)
+		q.Stamp = d.prepare(now, shareTTL)
 	}
 	a.mu.Unlock()
 	_, err := a.exchange(ctx, issuer, q)
@@ -195,7 +195,7 @@
 	d := &a.delegations[q.Shard]
 	if err != nil {
 		a.opts.Log.Debug().Int("shard", q.Shard).Str("issuer", issuer).Err(err).Msg("no response from the issuer of permits")
-		d.fail(now, issuer)
+		d.fail(now, issuer, maxExchangeFailures)
 		return r, err
 	}
 	d.complete(now, issuer, q.Withdraw, r)
@@ -240,7 +240,7 @@
 		a.mu.Unlock()
 		return Grant{RetryAfterMS: renewInterval.Milliseconds()}
 	}
-	q := Request{VM: a.opts.Name, Shard: shard, FleetSize: a.opts.FleetSize(now), Stamp: d.prepare(now), Want: &w}
+	q := Request{VM: a.opts.Name, Shard: shard, FleetSize: a.opts.FleetSize(now), Stamp: d.prepare(now, shareTTL), Want: &w}
 	a.mu.Unlock()
 	r, err := a.exchange(ctx, issuer, q)
 	if err != nil {
--- a/internal/permit/delegation.go
+++ b/internal/permit/delegation.go
@@ -67,10 +67,10 @@
 
 // prepare returns the stamp for a request to the issuer, and records that the share
 // counts there from now on.
-func (d *delegation) prepare(now time.Time) Stamp {
+func (d *delegation) prepare(now time.Time, ttl time.Duration) Stamp {
 	d.triedAt = now
 	if d.stamp != (Stamp{}) {
-		d.boundUntil = laterOf(d.boundUntil, d.stampAt.Add(shareTTL))
+		d.boundUntil = laterOf(d.boundUntil, d.stampAt.Add(ttl))
 	}
 	return d.stamp
 }
@@ -94,12 +94,13 @@
 	}
 }
 
-// fail records that an exchange with an issuer failed.
-func (d *delegation) fail(now time.Time, issuer string) {
+// fail records that an exchange with an issuer failed. After maxFailures in a row another
+// one is chosen.
+func (d *delegation) fail(now time.Time, issuer string, maxFailures int) {
 	if issuer != d.issuer {
 		return
 	}
-	if d.failures++; d.failures >= maxExchangeFailures {
+	if d.failures++; d.failures >= maxFailures {
 		d.failures = 0
 		d.avoid(now, issuer)
 	}
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -14,24 +14,15 @@
 
 	mu      sync.Mutex
 	closed  bool
-	shards  [Shards]map[string]delegated
+	shards  [Shards]shares
 	buckets map[string]*bucket
 }
 
-// delegated is the share of one VM at an Issuer.
-type delegated struct {
-	// until is when the share no longer counts.
-	until time.Time
-	// ignoreBefore is the time of the last withdrawal. Earlier stamps are not accepted.
-	ignoreBefore time.Time
-	fleetSize    int
-}
-
 // NewIssuer returns an Issuer. process tells this process from others of the same VM.
 func NewIssuer(now time.Time, process int64, book *Book) *Issuer {
 	i := &Issuer{process: process, startedAt: now, book: book, buckets: make(map[string]*bucket)}
 	for shard := range i.shards {
-		i.shards[shard] = make(map[string]delegated)
+		i.shards[shard] = make(shares)
 	}
 	return i
 }
@@ -52,16 +43,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r := Response{Stamp: Stamp{i.process, now.Sub(i.startedAt).Milliseconds()}}
-	d := i.shards[q.Shard][q.VM]
-	stampedAt := i.startedAt.Add(time.Duration(q.Stamp.MS) * time.Millisecond)
-	switch until := stampedAt.Add(shareTTL); {
-	case i.closed || q.Withdraw:
-		d.until, d.ignoreBefore = time.Time{}, now
-		r.Withdrawn = true
-	case q.Stamp.Process == i.process && stampedAt.After(d.ignoreBefore) && !stampedAt.After(now) && until.After(d.until):
-		d.until, d.fleetSize = until, q.FleetSize
-	}
-	i.shards[q.Shard][q.VM] = d
+	r.Withdrawn = i.closed || q.Withdraw
+	d := i.shards[q.Shard].record(now, i.startedAt, i.process, claim{q.VM, q.Stamp, q.FleetSize, shareTTL, r.Withdrawn})
 	share := i.share(now, q.Shard, fleetSize)
 	i.advanceAll(now, q.Shard, share)
 	if q.Want == nil {
@@ -115,21 +98,9 @@
 	return b
 }
 
-// share returns the share of the fleet that delegates a shard to this issuer. Of
-// several opinions on the size of the fleet the largest counts.
+// share returns the share of the fleet that delegates a shard to this issuer.
 func (i *Issuer) share(now time.Time, shard, fleetSize int) float64 {
-	n := 0
-	for vm, d := range i.shards[shard] {
-		if !d.until.After(now) {
-			if now.Sub(d.ignoreBefore) > shareTTL {
-				delete(i.shards[shard], vm)
-			}
-			continue
-		}
-		n++
-		fleetSize = max(fleetSize, d.fleetSize)
-	}
-	return float64(n) / float64(max(1, n, fleetSize))
+	return i.shards[shard].sum(now, shareTTL, fleetSize)
 }
 
 // IssuerStatus is what an Issuer knows of one upstream.
--- a/internal/permit/message.go
+++ b/internal/permit/message.go
@@ -12,9 +12,9 @@
 // Stamp is a time by the clock of one process that issues permits. The zero value is
 // no stamp.
 type Stamp struct {
-	Process int64 `json:"process"`
+	Process int64 `json:"process" cbor:"1,keyasint"`
 	// MS is in milliseconds since the start of the process.
-	MS int64 `json:"ms"`
+	MS int64 `json:"ms" cbor:"2,keyasint"`
 }
 
 // Request delegates a VM's share of a shard to an issuer, and may ask for a permit.
