platform, internal/ingress, internal/entryvm: refuse requests beyond their organisation's quota

Cause: as above. Change: the configuration's rate_per_s, burst, unit and plain_tokens; a check between route and body; calls of kind permit and permit_return over the beacon, whose key 38 names VMs that issue quotas; refunds, metrics, log lines and the dump. Without a quota nothing is sent. EnableFullDuplex was tried so that the refusal is sent before the body has arrived; net/http then panicked (invalid concurrent Body.Read call), so bodies over 64 KiB close the connection instead. TestBuildsReadOneAnother numbers the fields of samples; sample.Fill leaves out types that are younger than the record when it numbers. All recorded fields are compared as before.

--- a/internal/entryvm/direct.go
+++ b/internal/entryvm/direct.go
@@ -11,7 +11,10 @@
 
 // directHandlers returns the handlers of direct messages by their kind.
 func (v *VM) directHandlers() map[string]directHandler {
-	return map[string]directHandler{}
+	return map[string]directHandler{
+		directPermit:       v.serveQuota,
+		directPermitReturn: v.serveQuotaReturn,
+	}
 }
 
 // serveDirect handles a direct message of another VM. Kinds that this build does not know
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -56,7 +56,7 @@
 		Revisions: v.lastChangeRevisions(), Loads: make(map[string][3]int),
 		Sent: v.recentlySent(), Avoided: v.upstreams.Avoided(now),
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
-		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
+		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now), IssuesQuotas: v.issuesQuotas(now),
 		UpstreamsLeaving: v.drains.Reports(now), LinkMbps: int(v.settings.LinkMbps), Ejections: v.ejections.Reports(now), CutOff: v.paths.CutOff(),
 	}
 	switch {
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -33,6 +33,7 @@
 	// Suspects holds what is known against requests, by fingerprint.
 	Suspects map[string]suspect.Evidence `json:"suspects"`
 	Limits   permit.Status               `json:"limits"`
+	Quotas   permit.QuotaStatus          `json:"quotas"`
 	Streams  lineage.Status              `json:"streams"`
 	// UpstreamsLeaving holds for how many milliseconds it is known that upstreams leave,
 	// by incarnation.
@@ -57,7 +58,7 @@
 		Settings: v.settings, At: now, Ready: v.ready(), Active: v.activeRequests.Load(), Revisions: v.revisions(),
 		Upstreams: v.upstreams.All(), Load: v.upstreams.TotalLoad(now), Avoided: v.upstreams.Avoided(now),
 		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.elector.Fence(), Leading: v.elector.Holds(now),
-		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now), Streams: v.streams.Status(now),
+		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now), Quotas: v.quotas.Status(now), Streams: v.streams.Status(now),
 		UpstreamsLeaving: v.drains.Ages(now), Backoffs: v.backoffs.Remaining(now), Ejections: v.ejections.Ages(now),
 		Brittle: v.brittle.Numbers(), Relayed: v.paths.Ages(now), RelayedForOthers: v.relayServer.Tunnels(),
 	}
--- a/internal/entryvm/stop.go
+++ b/internal/entryvm/stop.go
@@ -58,6 +58,7 @@
 	v.drainStarted.Store(start.UnixNano())
 	v.log.Info().Int64("active", v.activeRequests.Load()).Msg("VM is leaving")
 	v.limits.Close()
+	v.quotas.Close()
 	v.beacon.Send(start)
 	v.streams.HandOver(start)
 	end := start.Add(milliseconds(v.settings.StopMS) - killMargin)
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -114,6 +114,7 @@
 	versionFollower       *registry.Follower[platform.DesiredVersion]
 	crashTracker          *suspect.Tracker
 	limits                *permit.Agent
+	quotas                *permit.Quotas
 	streams               *lineage.Agent
 	drains                *health.Drains
 	backoffs              *health.Backoffs
@@ -198,6 +199,7 @@
 	v.buildFollowers()
 	v.buildRollout()
 	v.buildLimits()
+	v.buildQuotas()
 	v.buildStreams()
 	v.buildRelay()
 	events := platform.NewCacheEvents()
@@ -292,6 +294,7 @@
 		RetryBudget:   retryBudget,
 		CrashTracker:  v.crashTracker,
 		Limits:        v.limits,
+		Quotas:        v.quotas,
 		Drains:        v.drains,
 		Backoffs:      v.backoffs,
 		Ejections:     v.ejections,
@@ -413,7 +416,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.probeLostLinks, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.streams.Run,
+		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.probeLostLinks, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.quotas.Run, v.updateQuotaGauges, v.streams.Run,
 	} {
 		wg.Go(func() { task(taskCtx) })
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -51,7 +51,7 @@
 	TrialRank(now time.Time, fingerprint string) int
 }
 
-// Options configures a Handler. All fields but Log and Streams are required.
+// Options configures a Handler. All fields but Log, Streams and Quotas are required.
 type Options struct {
 	// Now returns the current time.
 	Now           func() time.Time
@@ -66,11 +66,13 @@
 	RetryBudget  *retry.Budget
 	CrashTracker *suspect.Tracker
 	Limits       *permit.Agent
-	Drains       *health.Drains
-	Backoffs     *health.Backoffs
-	Ejections    *health.Ejections
-	Brittle      *health.Brittle
-	Fleet        Fleet
+	// Quotas may be nil: then no organisation has a quota.
+	Quotas    *permit.Quotas
+	Drains    *health.Drains
+	Backoffs  *health.Backoffs
+	Ejections *health.Ejections
+	Brittle   *health.Brittle
+	Fleet     Fleet
 	// Streams may be nil: then a stream goes on at any build.
 	Streams lineage.Streams
 	Metrics metrics.Registry
@@ -168,6 +170,7 @@
 		return
 	}
 	j = job{h: h, w: w, r: r}
+	defer j.refundQuota()
 	if err := j.read(now, stage); err != nil {
 		_ = h.refuse(w, j.Head, verdict.FromError(err)) // the request may not have been read whole
 		return
@@ -224,7 +227,9 @@
 	if cfg == nil {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration", "the VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
-	j.Request, err = intake.Read(now, j.w, j.r, cfg, request)
+	// The quota counts the sizes that the caller declares, not those that an upstream holds.
+	admit := func(q *intake.Request) error { return j.acquireQuota(now, q, request) }
+	j.Request, err = intake.Read(now, j.w, j.r, cfg, request, admit)
 	return err
 }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/intake"
 	"github.com/hibiscuscove/hibiscuscove/internal/leg"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
+	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 	"github.com/hibiscuscove/hibiscuscove/internal/routing"
 	"github.com/hibiscuscove/hibiscuscove/internal/selection"
@@ -87,6 +88,10 @@
 	// runs counts the attempts that may have run, rejected those that an
 	// upstream rejected, notSent those that got no connection.
 	runs, rejected, notSent int
+	// quota is what the request got of its organisation's quota, and answered is set once an
+	// upstream has answered it.
+	quota    permit.QuotaGrant
+	answered bool
 	// responding is set once a part of an answer may have been sent.
 	responding bool
 	// headSent is set once the head of a stream was sent to the caller. lastEvent is
@@ -164,6 +169,7 @@
 		underWay := len(j.legs)
 		done, err := j.step(ctx, cancel)
 		if done {
+			j.answered = true
 			j.recordSuccess()
 			return
 		}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	head, err := codec.DecodeRequest(r)
-//	request, err := intake.Read(now, w, r, configuration, head)
+//	request, err := intake.Read(now, w, r, configuration, head, nil)
 //	choice, found := table.Pick(now, request.Query())
 //	header := codec.EncodeHeader(request.UpstreamCall(now, choice, ""))
 package intake
@@ -51,13 +51,19 @@
 	Parts       []string
 }
 
-// Read reads the rest of a request that arrived now. Its error is a *verdict.Error; the
-// request then has its Head nevertheless.
-func Read(now time.Time, w http.ResponseWriter, r *http.Request, cfg *routing.Config, head message.Request) (Request, error) {
+// Read reads the rest of a request that arrived now. admit, if it is set, is called once
+// the route is known and before the body is read; its error refuses the request. An error
+// of Read is a *verdict.Error; the request then has its Head nevertheless.
+func Read(now time.Time, w http.ResponseWriter, r *http.Request, cfg *routing.Config, head message.Request, admit func(q *Request) error) (Request, error) {
 	q := Request{StartedAt: now, Head: head, Configuration: cfg, Revision: cfg.Revision()}
 	if err := q.resolveRoute(cfg, r); err != nil {
 		return q, err
 	}
+	if admit != nil {
+		if err := admit(&q); err != nil {
+			return q, err
+		}
+	}
 	var err error
 	if q.Body, err = readBody(w, r, cfg.Limits()); err != nil {
 		return q, err
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -15,6 +15,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/quota"
+	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 )
 
 // Kind is the kind of a route's requests. It decides how often they may run and
@@ -121,6 +124,8 @@
 	Priority *int
 	// Isolated organisations share no cached prompts with others.
 	Isolated bool
+	// Quota limits what all VMs together send to upstreams for the organisation.
+	Quota quota.Limit `json:",omitzero"`
 }
 
 // Limits limits the requests and connections of callers.
@@ -150,6 +155,7 @@
 	byHost   map[string][]Route
 	byKey    map[string]Organisation
 	services map[string]Service
+	quotas   map[string]quota.Limit
 }
 
 // New returns the Config of a document. revision is its revision in the store.
@@ -160,6 +166,7 @@
 		byHost:   make(map[string][]Route),
 		byKey:    make(map[string]Organisation),
 		services: make(map[string]Service),
+		quotas:   make(map[string]quota.Limit),
 	}
 	for _, r := range d.Routes {
 		host := strings.ToLower(r.Host)
@@ -169,6 +176,9 @@
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, o := range d.Organisations {
+		if o.Quota.Limited() {
+			c.quotas[o.Name] = o.Quota
+		}
 		for _, key := range o.Keys {
 			c.byKey[key] = o
 		}
@@ -193,6 +203,16 @@
 // Revision returns the configuration's revision in the store.
 func (c *Config) Revision() uint64 { return c.revision }
 
+// Quotas returns the quotas of the organisations that have one.
+func (c *Config) Quotas() *quota.Limits {
+	return &quota.Limits{Position: c.Position(), ByOrganisation: c.quotas}
+}
+
+// Position returns the configuration's position in the store.
+func (c *Config) Position() registry.Position {
+	return registry.Position{Era: c.era, Revision: c.revision}
+}
+
 // Document returns the document. It must not be changed.
 func (c *Config) Document() Document { return c.document }
 
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -14,10 +14,23 @@
 
 // Fill sets all exported fields of the value that target points to. What a field gets depends
 // only on the fields before it, so that fields that are added at the end leave the others as
-// they were.
-func Fill(target any) { fill(reflect.ValueOf(target).Elem(), new(int)) }
+// they were. Fields of the types of added are filled as well, and leave the fields after them
+// as they were: for types that are younger than what has been recorded.
+func Fill(target any, added ...any) {
+	f := make(filler)
+	for _, value := range added {
+		f[reflect.TypeOf(value)] = true
+	}
+	f.fill(reflect.ValueOf(target).Elem(), new(int))
+}
 
-func fill(v reflect.Value, n *int) {
+// filler holds the types that have been added.
+type filler map[reflect.Type]bool
+
+func (f filler) fill(v reflect.Value, n *int) {
+	if f[v.Type()] {
+		n = new(*n)
+	}
 	*n++
 	switch v.Kind() {
 	case reflect.String:
@@ -32,24 +45,24 @@
 		v.SetFloat(float64(*n) / 2)
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
-		fill(v.Elem(), n)
+		f.fill(v.Elem(), n)
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
-		fill(v.Index(0), n)
+		f.fill(v.Index(0), n)
 	case reflect.Array:
 		for i := range v.Len() {
-			fill(v.Index(i), n)
+			f.fill(v.Index(i), n)
 		}
 	case reflect.Map:
 		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
-		fill(key, n)
-		fill(value, n)
+		f.fill(key, n)
+		f.fill(value, n)
 		v.Set(reflect.MakeMap(v.Type()))
 		v.SetMapIndex(key, value)
 	case reflect.Struct:
 		for i := range v.NumField() {
 			if v.Type().Field(i).IsExported() {
-				fill(v.Field(i), n)
+				f.fill(v.Field(i), n)
 			}
 		}
 	default:
