--- a/cmd/covectl/main.go
+++ b/cmd/covectl/main.go
@@ -106,11 +106,12 @@
 	"entry":    {0, false, "entry", entry},
 	"request":  {1, false, "request KEY", lookUpRequest},
 	"explain":  {2, true, "explain REQUEST_ID LOG...", explain},
+	"quotas":   {0, false, "quotas", quotas},
 }
 
 // usage returns the syntax of all commands, separated by commas.
 func usage() string {
-	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request", "explain"}
+	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request", "explain", "quotas"}
 	var syntaxes []string
 	for _, name := range order {
 		syntaxes = append(syntaxes, commands[name].syntax)
