internal/suspect: a trial of a blocked part is left to a safer request

Cause: the trial of a blocked prompt part was the first request with it that came when the trial was due. The crash of a trial counts against all parts of its prompt, so that a request that crashes engines for another reason kept a sound part blocked for half a minute, with all requests that share it.

Change: a VM remembers which requests were refused in the last 2 s because of a blocked part. A request that may be a trial waits for up to 3 s for one of these that shares a blocked part with it and is safer in its other parts: fewer bursts of crashes, not broken off itself, or parts that half of the requests with the blocked part have. When a part may be tried is as before.

Process tests of crashing requests and parts pass.

--- a/internal/suspect/part_test.go
+++ b/internal/suspect/part_test.go
@@ -384,3 +384,76 @@
 		t.Errorf("trials until the sound part is clear (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a sound part that stays blocked for half a minute because its trial was a
+// request that crashes engines for another reason: one with a new part, or one that crashes
+// them itself. A request for which no better one comes must still be a trial.
+func TestTrialIsLeftToSaferRequests(t *testing.T) {
+	type request struct {
+		fingerprint string
+		parts       []string
+		// every is the number of milliseconds between two of them. They end at until ms.
+		every, until int
+	}
+	ordinary := request{"ordinary", []string{"root", "usual"}, 50, 20_000}
+	tests := map[string]struct {
+		// requests come in this order if several come at once.
+		requests []request
+		// crashed holds the parts under which engines have crashed, in one burst, and
+		// broken the fingerprint of a request that another engine has broken off.
+		crashed []string
+		broken  string
+		// want is the first request that is tried, at the ms wantAt.
+		want   string
+		wantAt int
+	}{
+		"a rare new part beside a usual one": {
+			requests: []request{{"new", []string{"root", "new"}, 500, 20_000}, ordinary},
+			crashed:  []string{"root", "usual"}, want: "ordinary", wantAt: 1000,
+		},
+		"a request that crashes engines": {
+			requests: []request{{"crashing", []string{"root", "usual"}, 100, 20_000}, ordinary},
+			crashed:  []string{"root", "usual"}, broken: "crashing", want: "ordinary", wantAt: 1000,
+		},
+		"a request with fewer parts": {
+			requests: []request{{"new", []string{"root", "new"}, 100, 20_000}, {"ordinary", []string{"root"}, 700, 20_000}},
+			crashed:  []string{"root"}, want: "ordinary", wantAt: 1400,
+		},
+		"usual requests have ended": {
+			requests: []request{{"new", []string{"root", "new"}, 500, 20_000}, {"ordinary", []string{"root", "usual"}, 50, 900}},
+			crashed:  []string{"root", "usual"}, want: "new", wantAt: 3000,
+		},
+		"no other request": {
+			requests: []request{{"new", []string{"root", "new"}, 500, 20_000}},
+			crashed:  []string{"root"}, broken: "new", want: "new", wantAt: 1000,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := suspect.NewTracker()
+			fingerprints := func(ids []string) []string { return suspect.PartFingerprints("acme", "m", toParts(ids)) }
+			for engine := range 3 {
+				for _, part := range fingerprints(test.crashed) {
+					tracker.RecordUnanswered(start, start, part, incarnation(engine, 0), true)
+				}
+			}
+			if test.broken != "" {
+				tracker.RecordUnanswered(start, start, test.broken, incarnation(0, 0), true)
+			}
+			got, gotAt := "", 0
+			for ms := 50; ms < 20_000 && got == ""; ms += 50 {
+				for _, r := range test.requests {
+					if ms%r.every != 0 || ms > r.until || got != "" {
+						continue
+					}
+					if _, blocked := tracker.Check(start.Add(time.Duration(ms)*time.Millisecond), r.fingerprint, fingerprints(r.parts), func(string) int { return 0 }); !blocked {
+						got, gotAt = r.fingerprint, ms
+					}
+				}
+			}
+			if got != test.want || gotAt != test.wantAt {
+				t.Errorf("first trial: %q at %d ms, want %q at %d ms", got, gotAt, test.want, test.wantAt)
+			}
+		})
+	}
+}
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -84,6 +84,8 @@
 	heard map[string]time.Time
 	// sound holds when prompt parts were last part of a whole answer.
 	sound recent
+	// candidates holds which requests may be the next trials.
+	candidates candidates
 }
 
 // entry holds what is known against one request.
--- a/internal/suspect/trial.go
+++ b/internal/suspect/trial.go
@@ -1,6 +1,9 @@
 package suspect
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Trials of a blocked part: one request that shows whether it still crashes upstreams.
 const (
@@ -36,10 +39,13 @@
 // may make a trial of a part, 0 for the first; it is called only for blocked parts.
 //
 // A request may be a trial: then nothing blocks it, and Check records it. It must be sent.
+// The crash of a trial counts against all parts of its prompt, so that a request gives way
+// to one that is less likely to crash for another reason than the blocked part.
 func (t *Tracker) Check(now time.Time, request string, parts []string, rank func(fingerprint string) int) (Finding, bool) {
-	if e := t.Evidence(now, request); e.Blocked() || e.Held() {
-		f := Finding{Fingerprint: request, Part: -1, Evidence: e}
-		if e.Held() {
+	own := t.Evidence(now, request)
+	if own.Blocked() || own.Held() {
+		f := Finding{Fingerprint: request, Part: -1, Evidence: own}
+		if own.Held() {
 			f.RetryAfter = heldRetryAfter
 		}
 		return f, true
@@ -54,11 +60,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var due time.Time
 	for i, f := range blocked {
 		at := t.nextTrial(f.Fingerprint, f.Evidence.isUncertain()).Add(time.Duration(ranks[i]) * trialRankDelay)
 		if f.RetryAfter = at.Sub(now); f.RetryAfter > 0 {
+			t.addCandidate(now, own, parts)
 			return f, true
 		}
+		if at.After(due) {
+			due = at
+		}
+	}
+	if now.Before(due.Add(maxDeferral)) && t.betterExpected(now, own, parts, blocked, time.Duration(slices.Max(ranks))*trialRankDelay) {
+		t.addCandidate(now, own, parts)
+		f := blocked[0]
+		f.RetryAfter = trialRankDelay
+		return f, true
 	}
 	for _, f := range blocked {
 		if s := t.suspects[f.Fingerprint]; s != nil {
@@ -69,6 +86,14 @@
 	return Finding{}, false
 }
 
+// addCandidate records a refused request that may come again and be a trial, unless it
+// seems to crash upstreams itself. The caller holds the lock.
+func (t *Tracker) addCandidate(now time.Time, own Evidence, parts []string) {
+	if own.Broken == 0 {
+		t.candidates.add(now, parts)
+	}
+}
+
 // blockedParts returns a finding for each blocked part.
 func (t *Tracker) blockedParts(now time.Time, parts []string) []Finding {
 	t.mu.Lock()
