internal/quarantine: a mass crash covers requests that notice it late

Cause: a crash counted for a request with the time at which that request noticed it. Requests notice the end of one incarnation at different times: at once if the connection closes, after silence_ms or first_byte_timeout_ms if it doesn't. A request that noticed it over 2 s after the other upstreams of the data centre had ended was suspect though many had crashed together: it ran as a trial, its copies were refused (request_on_trial), and a second one quarantined it.

Evidence: TestDataCentreCrash on one processor beside three busy processes, with the crashes that each node knows printed: engines 1, 3, 5 and 7 ended within 0.6 s, all four known at 06:40:01.0 to 01.5, and a request is suspect for the end of engine 1 at 06:40:04.571; the same in 4 of 7 runs (2.0 to 6.6 s late); 5 of 24 runs then failed with request_on_trial, one of them of 3 with the silence timeout of 150 ms, the others of 21 with that of 2 s.

Ruled out: crashes that were not known (all four were, at both nodes, before the request noticed).

Change: the time of a crash in the check for a mass crash is the first at which the tracker knows of the end of the incarnation, whichever report comes first. Where the incarnation is not known, crashes of several have one key, and the time stays that of the report.

Two new cases of TestCheck failed before; two more show that a single crash noticed late and one of an unknown incarnation still count. TestDataCentreCrash in the same conditions: 0 of 10 runs with request_on_trial.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -74,7 +74,7 @@
 	Quarantined
 )
 
-// Crash is the end of one incarnation of an upstream.
+// Crash is the end of one incarnation of an upstream. At is when it was noticed.
 type Crash struct {
 	Upstream    string    `json:"upstream"`
 	Incarnation string    `json:"incarnation"`
@@ -88,6 +88,10 @@
 	return Crash{Upstream: upstream, Incarnation: upstream + "@" + incarnation, DataCentre: dataCentre, At: at}
 }
 
+// hasIncarnation reports whether the incarnation is known. Otherwise crashes of several
+// incarnations have the same Incarnation.
+func (c Crash) hasIncarnation() bool { return c.Incarnation != c.Upstream+"@" }
+
 // suspect holds the crashes attributed to a request and its last trial.
 type suspect struct {
 	crashes       map[string]Crash
@@ -167,7 +171,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if _, known := t.crashes[c.Incarnation]; !known {
+	if first, known := t.crashes[c.Incarnation]; !known || c.hasIncarnation() && c.At.Before(first.At) {
 		t.crashes[c.Incarnation] = c
 	}
 }
@@ -263,6 +267,10 @@
 // around the time of c that something other than a request must be the cause. The
 // caller holds the lock.
 func (t *Tracker) inMassCrash(c Crash) bool {
+	// A request may notice the end of its upstream seconds after others have, in silence.
+	if first, known := t.crashes[c.Incarnation]; known && c.hasIncarnation() && first.At.Before(c.At) {
+		c.At = first.At
+	}
 	upstreams := make(map[string]bool)
 	for _, other := range t.crashes {
 		distance := other.At.Sub(c.At).Abs()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -20,18 +20,27 @@
 	}
 }
 
+// noticed returns a crash with the time at which it was noticed.
+func noticed(c quarantine.Crash, after time.Duration) quarantine.Crash {
+	c.At = start.Add(after)
+	return c
+}
+
 // TestCheck checks that crashes count against a request unless they are old,
-// reported twice, from before it was cleared, or part of a mass crash.
+// reported twice, from before it was cleared, or part of a mass crash. It guards against
+// sound requests that were suspect after a mass crash since they noticed it late.
 func TestCheck(t *testing.T) {
 	const fingerprint = "f"
 	second := time.Second
 	tests := map[string]struct {
 		attributed []quarantine.Crash
 		recorded   []quarantine.Crash
-		upstreams  int
-		clearedAt  time.Duration
-		at         time.Duration
-		want       quarantine.Status
+		// recordedLast is set if recorded is known after attributed.
+		recordedLast bool
+		upstreams    int
+		clearedAt    time.Duration
+		at           time.Duration
+		want         quarantine.Status
 	}{
 		"nothing":               {want: quarantine.Clear},
 		"one crash":             {attributed: []quarantine.Crash{crash(1, "a", 0)}, at: second, want: quarantine.Suspect},
@@ -43,18 +52,43 @@
 		"crash elsewhere":       {attributed: []quarantine.Crash{crash(1, "a", 0), crash(2, "a", second)}, recorded: []quarantine.Crash{crash(3, "b", second)}, upstreams: 8, at: second, want: quarantine.Quarantined},
 		"crash much later":      {attributed: []quarantine.Crash{crash(1, "a", 0), crash(2, "a", second)}, recorded: []quarantine.Crash{crash(3, "a", time.Minute)}, upstreams: 8, at: time.Minute, want: quarantine.Quarantined},
 		"few of many upstreams": {attributed: []quarantine.Crash{crash(1, "a", 0), crash(2, "a", second)}, recorded: []quarantine.Crash{crash(3, "a", second)}, upstreams: 100, at: second, want: quarantine.Quarantined},
-		"one upstream twice":    {attributed: []quarantine.Crash{crash(1, "a", 0), crash(1, "a", second)}, recorded: []quarantine.Crash{crash(1, "a", 2*second)}, upstreams: 8, at: 2 * second, want: quarantine.Quarantined},
+		"mass crash, the end of the request noticed late": {
+			recorded:   []quarantine.Crash{crash(1, "a", 0), crash(2, "a", second), crash(3, "a", second)},
+			attributed: []quarantine.Crash{noticed(crash(1, "a", 0), 5*second)}, upstreams: 8, at: 5 * second, want: quarantine.Clear,
+		},
+		"mass crash noticed late first": {
+			attributed: []quarantine.Crash{noticed(crash(1, "a", 0), 5*second)},
+			recorded:   []quarantine.Crash{crash(1, "a", 0), crash(2, "a", second), crash(3, "a", second)}, recordedLast: true,
+			upstreams: 8, at: 5 * second, want: quarantine.Clear,
+		},
+		"one crash noticed late": {
+			recorded:   []quarantine.Crash{crash(1, "a", 0)},
+			attributed: []quarantine.Crash{noticed(crash(1, "a", 0), 5*second)}, upstreams: 8, at: 5 * second, want: quarantine.Suspect,
+		},
+		"crash of an unknown incarnation after a mass crash": {
+			recorded:   []quarantine.Crash{quarantine.NewCrash(start, "engine-1", "a", ""), crash(2, "a", second), crash(3, "a", second)},
+			attributed: []quarantine.Crash{quarantine.NewCrash(start.Add(5*second), "engine-1", "a", "")}, upstreams: 8, at: 5 * second, want: quarantine.Suspect,
+		},
+		"one upstream twice": {attributed: []quarantine.Crash{crash(1, "a", 0), crash(1, "a", second)}, recorded: []quarantine.Crash{crash(1, "a", 2*second)}, upstreams: 8, at: 2 * second, want: quarantine.Quarantined},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			tracker := quarantine.NewTracker(quarantine.Options{})
 			tracker.SetUpstreamCounts(map[string]int{"a": tt.upstreams, "b": tt.upstreams})
-			for _, c := range tt.recorded {
-				tracker.RecordCrash(c.At, c)
+			record := func() {
+				for _, c := range tt.recorded {
+					tracker.RecordCrash(c.At, c)
+				}
+			}
+			if !tt.recordedLast {
+				record()
 			}
 			for _, c := range tt.attributed {
 				tracker.AttributeCrash(c.At, fingerprint, c)
 			}
+			if tt.recordedLast {
+				record()
+			}
 			if tt.clearedAt > 0 {
 				tracker.Clear(start.Add(tt.clearedAt), fingerprint)
 			}
