internal/dispatch: requests placed by the VM that knows all of a group's load

Cause: a VM of a large fleet sees about 9 of 700 requests a second and the loads of others late, so its estimates of queues are wrong when capacity is scarce.

Change: the upstreams of a service form groups, and one VM decides on all requests for a group by leases (Board). A VM asks it by a datagram (Agent), checks the placement by its own rules (selection), and reports first token and end (leg). It decides by itself as before without a reply, at limits, for streams that go on at one build, and unless the settings' terms hold "pressure" in a fleet with a partial view.

Result: tests of internal/dispatch, platform, entryvm, beacon, roster and costmodel pass with -race.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -156,6 +156,8 @@
 	Direct *Direct `json:"-" cbor:"36,keyasint,omitempty"`
 	// Calls is set if the sender serves direct messages.
 	Calls bool `json:"calls,omitempty" cbor:"37,keyasint,omitempty"`
+	// Dispatches is set if other VMs may choose this one to dispatch requests.
+	Dispatches bool `json:"dispatches,omitempty" cbor:"39,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/direct.go
+++ b/internal/entryvm/direct.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 )
 
 // directHandler handles a direct message of another VM and returns the reply, nil for none.
@@ -11,7 +13,11 @@
 
 // directHandlers returns the handlers of direct messages by their kind.
 func (v *VM) directHandlers() map[string]directHandler {
-	return map[string]directHandler{}
+	return map[string]directHandler{
+		dispatch.KindPlace:    v.dispatch.agent.HandlePlace,
+		dispatch.KindPlaced:   v.dispatch.agent.HandlePlaced,
+		dispatch.KindProgress: v.dispatch.agent.HandleProgress,
+	}
 }
 
 // serveDirect handles a direct message of another VM. Kinds that this build does not know
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -72,8 +72,14 @@
 	DistanceMS         float64 `json:"distance_ms"`
 	SharedWeight       float64 `json:"shared_weight"`
 	ConnectTimeoutMS   int     `json:"connect_timeout_ms"`
+	// Terms names what the deployment calls for. Unknown words are ignored.
+	Terms []string `json:"terms"`
 }
 
+// termPressure is the word in Settings.Terms for a deployment whose callers compete for too
+// little capacity.
+const termPressure = "pressure"
+
 // DefaultSettings returns the values of settings that a file may omit.
 func DefaultSettings() Settings {
 	return Settings{
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -21,6 +21,7 @@
 	"port_range.0": "7340", "platform.address|json": `"10.200.1.7:8784"`, "limits.memory_mb": "134", "limits.link_mbps": "1000.0",
 	"bounds.grace_s": "8", "bounds.drain_ms": "2500", "bounds.contact_ms": "3000", "bounds.lease_ms": "3000", "bounds.version_ms": "15000", "bounds.version_all_ms": "21000", "bounds.retry_budget_ratio": "0.2",
 	"bounds.budget_slack": "58", "bounds.budget_window_s": "10",
+	"contracts|json": `["pressure","a word of a later build"]`,
 }
 
 func fillTemplate(t *testing.T) string {
@@ -73,6 +74,7 @@
 	want.Seeds = []string{"10.1.0.30:8783", "10.2.0.22:8783"}
 	want.RetrySlack = 58
 	want.DrainMS = 2500
+	want.Terms = []string{"pressure", "a word of a later build"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
 	}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -114,6 +114,7 @@
 	versionFollower       *registry.Follower[platform.DesiredVersion]
 	crashTracker          *suspect.Tracker
 	limits                *permit.Agent
+	dispatch              dispatching
 	streams               *lineage.Agent
 	drains                *health.Drains
 	backoffs              *health.Backoffs
@@ -188,9 +189,10 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	limits := roster.VersionLimits{MaxSpan: milliseconds(s.VersionMS) - versionMargin, MaxTotal: milliseconds(s.VersionTotalMS) - versionMargin}
-	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: costmodel.Policy{
+	policy := costmodel.Policy{
 		Rule: costmodel.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
-	}})
+	}
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: policy})
 	v.brittle = health.NewBrittle(s.Name, v.peerNames)
 	if err := v.buildBeacon(); err != nil {
 		return nil, err
@@ -198,6 +200,7 @@
 	v.buildFollowers()
 	v.buildRollout()
 	v.buildLimits()
+	v.buildDispatch(policy)
 	v.buildStreams()
 	v.buildRelay()
 	events := platform.NewCacheEvents()
@@ -296,6 +299,8 @@
 		Backoffs:      v.backoffs,
 		Ejections:     v.ejections,
 		Brittle:       v.brittle,
+		Dispatch:      v.dispatch.agent,
+		DataCentre:    v.settings.DataCentre,
 		Fleet:         v,
 		Streams:       countedStreams{v},
 		Metrics:       v.metrics,
@@ -413,7 +418,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.probeLostLinks, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.streams.Run,
+		v.configurationFollower.Run, v.upstreamFollower.Run, v.versionFollower.Run, v.beacon.Run, v.rollout.Run, v.cacheFollower.Run, v.register, v.maintainUpstreams, v.probeLostLinks, v.restoreDesiredAges, v.restoreSuspects, v.storeSuspects, v.logSummaries, v.limits.Run, v.streams.Run, v.maintainDispatch,
 	} {
 		wg.Go(func() { task(taskCtx) })
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -107,6 +107,7 @@
 		j.h.opts.Upstreams.SetLoading(now, l.Upstream.ID)
 	}
 	j.h.incCounter("rejections." + strconv.Itoa(l.Response.Status))
+	l.Lease.Rejected()
 	j.endLeg(l)
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeRejected,
 		fmt.Sprintf("the upstream turned the request away with status %d", l.Response.Status))
@@ -257,6 +258,7 @@
 	}
 	l.Forwarded = true
 	l.InFlight.FirstToken(l.AliveAt, l.Choice.WaitMS)
+	l.Lease.FirstToken(l.AliveAt)
 	_, err := j.w.Write(event.Raw)
 	if err == nil {
 		err = http.NewResponseController(j.w).Flush()
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -25,6 +25,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
@@ -51,7 +52,7 @@
 	TrialRank(now time.Time, fingerprint string) int
 }
 
-// Options configures a Handler. All fields but Log and Streams are required.
+// Options configures a Handler. All fields but Log, Streams, Dispatch and DataCentre are required.
 type Options struct {
 	// Now returns the current time.
 	Now           func() time.Time
@@ -71,6 +72,10 @@
 	Ejections    *health.Ejections
 	Brittle      *health.Brittle
 	Fleet        Fleet
+	// Dispatch has requests placed by dispatchers. Nil means that this VM picks by itself.
+	Dispatch *dispatch.Agent
+	// DataCentre is that of this VM, for dispatchers.
+	DataCentre string
 	// Streams may be nil: then a stream goes on at any build.
 	Streams lineage.Streams
 	Metrics metrics.Registry
@@ -114,7 +119,7 @@
 // NewHandler returns a Handler.
 func NewHandler(opts Options) *Handler {
 	selector := selection.New(selection.Options{
-		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Ejections: opts.Ejections, Brittle: opts.Brittle, Metrics: opts.Metrics, Log: opts.Log,
+		Upstreams: opts.Upstreams, Limits: opts.Limits, Drains: opts.Drains, Backoffs: opts.Backoffs, Ejections: opts.Ejections, Brittle: opts.Brittle, Dispatch: opts.Dispatch, Metrics: opts.Metrics, Log: opts.Log,
 	})
 	return &Handler{opts: opts, selector: selector, stopping: make(chan struct{})}
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/hedge"
 	"github.com/hibiscuscove/hibiscuscove/internal/intake"
@@ -246,7 +247,7 @@
 		return hedge.Caller
 	case codeStopping:
 		return hedge.Stopping
-	case selection.CodeNoUpstream, selection.CodeBusy, selection.CodeLimited, selection.CodeLeaving, selection.CodeBackingOff, selection.CodeNoRoom:
+	case selection.CodeNoUpstream, selection.CodeBusy, selection.CodeScarce, selection.CodeLimited, selection.CodeLeaving, selection.CodeBackingOff, selection.CodeNoRoom:
 		return hedge.NoUpstream
 	case codeUnreachable:
 		if j.notSent >= maxConnectAttempts {
@@ -328,6 +329,7 @@
 		Query: query, Organisation: j.Organisation.Name, Priority: j.Priority(),
 		Retry: j.runs+j.rejected+j.notSent > 0, New: j.Service.Engine && j.isFirst(),
 		TargetLatency: j.Route.TargetLatency, TimeLeft: j.Head.TimeLeft, Repeatable: j.isFirst() && j.Route.Repeatable() && j.Route.MaxAttempts > 1, LogEvent: j.logEvent,
+		ID: j.Head.ID, Dispatch: j.dispatchRequest(query),
 	}
 	if j.runs == 0 {
 		r.Reattempt = func() { j.attempted = nil }
@@ -335,6 +337,16 @@
 	return r
 }
 
+// dispatchRequest describes the request to dispatchers.
+func (j *job) dispatchRequest(query roster.Query) dispatch.Request {
+	return dispatch.Request{
+		Service: query.Service, Model: query.Model, Parts: query.Parts, UnsharedTokens: query.UnsharedTokens, OutputTokens: query.OutputTokens,
+		BodyBytes: len(j.Body), Priority: j.Priority(), Organisation: j.Organisation.Name, TargetMS: int(j.Route.TargetLatency / time.Millisecond),
+		TimeLeftMS: int(j.Deadline.Sub(j.h.opts.Now()) / time.Millisecond), TimeoutMS: int(j.RouteTimeout() / time.Millisecond),
+		New: j.isFirst(), Exclude: query.Exclude, DataCentre: j.h.opts.DataCentre,
+	}
+}
+
 // isFirst reports whether the request has not been attempted yet, at any VM.
 func (j *job) isFirst() bool {
 	return j.runs+j.rejected+j.notSent == 0 && !j.headSent && j.Head.ResumeAfter == ""
@@ -374,6 +386,7 @@
 		return err
 	}
 	if err := j.send(ctx, now, choice, query); err != nil {
+		j.h.opts.Dispatch.Drop(choice.Lease)
 		if hasCode(err, selection.CodeNoRoom) {
 			return err
 		}
@@ -423,8 +436,9 @@
 		WaitingTokens: choice.MissingTokens,
 		Tokens:        j.Head.PromptTokens + j.Head.OutputTokens,
 	}, query.Parts, query.UnsharedTokens+query.OutputTokens)
+	lease := j.h.opts.Dispatch.Sent(now, choice.Lease, u, choice.MissingTokens, j.dispatchRequest(query))
 	l := leg.New(leg.Options{
-		Upstream: u, Choice: choice, InFlight: inFlight, SentAt: now, Beside: beside, Cancel: cancel,
+		Upstream: u, Choice: choice, InFlight: inFlight, Lease: lease, SentAt: now, Beside: beside, Cancel: cancel,
 		Observe: j.h.observeAvailability, Now: j.h.opts.Now, Codec: j.h.opts.Codec, Bodies: j.h.opts.Bodies,
 	})
 	j.legs = append(j.legs, l)
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 	"github.com/hibiscuscove/hibiscuscove/internal/eventstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/message"
@@ -28,13 +29,15 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
-// Options configures a Leg. All fields but Beside are required.
+// Options configures a Leg. All fields but Beside and Lease are required.
 type Options struct {
 	Upstream roster.Upstream
 	Choice   roster.Choice
 	// InFlight is what the request occupies at the upstream. End finishes it.
 	InFlight *roster.InFlight
-	SentAt   time.Time
+	// Lease is what a dispatcher counts of it, nil if none does. End ends it.
+	Lease  *dispatch.Lease
+	SentAt time.Time
 	// Beside is set if it was sent beside another leg.
 	Beside bool
 	// Cancel ends the context of Run.
@@ -101,6 +104,7 @@
 func (l *Leg) End() {
 	l.Cancel()
 	l.InFlight.Finish()
+	l.Lease.End()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -69,6 +69,9 @@
 	// Healthy is false if the upstream is a last resort: avoided, with an
 	// expired entry, or loading weights.
 	Healthy bool
+	// Lease is the lease that a dispatcher was asked for, see package dispatch, and 0 if none
+	// was asked.
+	Lease uint64
 }
 
 // FirstToken returns FirstTokenMS as a duration.
--- a/internal/selection/choose.go
+++ b/internal/selection/choose.go
@@ -22,8 +22,7 @@
 func (s *Selector) Choose(ctx context.Context, now time.Time, r Request) (roster.Choice, error) {
 	limits, query := s.opts.Limits, r.Query
 	if !limits.Any(now) {
-		choice, found := s.pick(now, r, &query)
-		return choice, s.checkChoice(now, r, choice, found)
+		return s.chooseUnlimited(ctx, now, r, query)
 	}
 	query.Allow = func(u roster.Upstream) bool { return !limits.Limited(now, u.Incarnation()) }
 	free, found := s.pick(now, r, &query)
@@ -40,12 +39,17 @@
 	return free, s.checkChoice(now, r, free, found)
 }
 
-// pick picks an upstream, an ejected one if the request is a trial. If all have been attempted and the request has not run, all
-// may be picked again.
+// pick picks an upstream, an ejected one if the request is a trial.
 func (s *Selector) pick(now time.Time, r Request, query *roster.Query) (roster.Choice, bool) {
 	if trial, started := s.pickTrial(now, r, *query); started {
 		return trial, true
 	}
+	return s.pickUntried(now, r, query)
+}
+
+// pickUntried picks an upstream that has not been attempted. If all have been attempted and
+// the request has not run, all may be picked again.
+func (s *Selector) pickUntried(now time.Time, r Request, query *roster.Query) (roster.Choice, bool) {
 	choice, found := s.Pick(now, *query)
 	if !found && len(query.Exclude) > 0 && r.Reattempt != nil {
 		r.Reattempt()
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -23,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -39,11 +40,13 @@
 	CodeLeaving = "upstreams_leaving"
 	// CodeNoRoom is the code of a request whose upstreams are brittle and may have no room.
 	CodeNoRoom = "upstreams_full"
+	// CodeScarce is the code of a request that a dispatcher refuses, since others go first.
+	CodeScarce = "capacity_scarce"
 	// CodeBackingOff is the code of a request for which all upstreams are backed off from.
 	CodeBackingOff = "upstreams_backing_off"
 )
 
-// Options configures a Selector. All fields but Log are required.
+// Options configures a Selector. All fields but Dispatch and Log are required.
 type Options struct {
 	Upstreams *roster.Table
 	Limits    *permit.Agent
@@ -51,8 +54,10 @@
 	Backoffs  *health.Backoffs
 	Ejections *health.Ejections
 	Brittle   *health.Brittle
-	Metrics   metrics.Registry
-	Log       zerolog.Logger
+	// Dispatch has requests placed by dispatchers. Nil means that this VM picks by itself.
+	Dispatch *dispatch.Agent
+	Metrics  metrics.Registry
+	Log      zerolog.Logger
 }
 
 // Selector chooses upstreams.
@@ -80,6 +85,9 @@
 	Repeatable bool
 	// TimeLeft is the time until the caller's deadline, or zero if it gave none.
 	TimeLeft time.Duration
+	// ID is the caller's ID of the request, and Dispatch describes it to dispatchers.
+	ID       string
+	Dispatch dispatch.Request
 	// Reattempt is called if all upstreams were attempted and any may be attempted
 	// again. It is nil if the request may have run.
 	Reattempt func()
