--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +21,8 @@
 	callPart       = 10
 	minCallTimeout = 15 * time.Millisecond
 	// secondCallPart is the part of the target within which the first call must have been
-	// answered for a second group to be asked.
-	secondCallPart = 20
+	// answered for a second group to be asked. Both calls together take an eighth at most.
+	secondCallPart = 40
 	// A dispatcher that did not reply maxFailures times in a row is avoided for avoidTime.
 	maxFailures = 2
 	avoidTime   = time.Second
@@ -233,6 +235,7 @@
 	if len(list) > 0 {
 		a.count("dispatch.leases_moved", int64(len(list)))
 	}
+	slices.SortFunc(list, func(x, y moved) int { return cmp.Compare(x.placed.Request.ID, y.placed.Request.ID) })
 	return list
 }
 
--- a/internal/entryvm/dispatch.go
+++ b/internal/entryvm/dispatch.go
@@ -15,6 +15,11 @@
 // upstreams, and the VMs that dispatch.
 const dispatchInterval = 100 * time.Millisecond
 
+// minDispatcherPart is the inverse of the least part of the VMs that must dispatch. A VM that
+// knows fewer, since it or all have just started, it is cut off, or most are of an older build,
+// would ask boards that know a small part of the load and take the upstreams to be idle.
+const minDispatcherPart = 3
+
 // dispatching is a VM's part in the dispatching of requests.
 type dispatching struct {
 	agent *dispatch.Agent
@@ -39,14 +44,17 @@
 	return wanted && v.upstreams.PartialView()
 }
 
-// dispatches reports whether other VMs may choose this one to dispatch requests.
-func (v *VM) dispatches() bool {
-	if !v.ready() {
-		return false
-	}
+// dispatchingOn reports whether the requests of any service are placed by dispatchers.
+func (v *VM) dispatchingOn() bool {
 	return slices.ContainsFunc(v.configuredServices(), v.dispatchesService)
 }
 
+// dispatches reports whether other VMs may choose this one to dispatch requests. A VM that
+// has just started does not know all others yet.
+func (v *VM) dispatches(now time.Time) bool {
+	return v.ready() && v.limits.Joined(now) && v.dispatchingOn()
+}
+
 // configuredServices returns the names of the services that have upstreams.
 func (v *VM) configuredServices() []string {
 	var names []string
@@ -66,20 +74,20 @@
 	for wait.For(ctx, dispatchInterval) {
 		now := v.opts.Now()
 		before := on
-		on = v.dispatches()
+		on = v.dispatchingOn()
 		if on != before {
 			v.log.Info().Bool("on", on).Strs("terms", v.settings.Terms).Msg("dispatching of requests")
 		}
 		if on || before {
-			v.dispatch.agent.Sync(now, v.dispatchedServices(now), v.dispatcherCandidates(now, on))
+			v.dispatch.agent.Sync(now, v.dispatchedServices(now), v.dispatcherCandidates(now))
 		}
 	}
 }
 
-// dispatcherCandidates returns the VMs that dispatch.
-func (v *VM) dispatcherCandidates(now time.Time, self bool) []dispatch.Dispatcher {
+// dispatcherCandidates returns the VMs that dispatch, none if they are too few.
+func (v *VM) dispatcherCandidates(now time.Time) []dispatch.Dispatcher {
 	var list []dispatch.Dispatcher
-	if self {
+	if v.dispatches(now) {
 		list = append(list, dispatch.Dispatcher{Name: v.settings.Name, LinkMbps: int(v.settings.LinkMbps)})
 	}
 	for _, p := range v.beacon.Alive(now) {
@@ -87,6 +95,9 @@
 			list = append(list, dispatch.Dispatcher{Name: p.Name, LinkMbps: p.LinkMbps})
 		}
 	}
+	if minDispatcherPart*len(list) < v.fleetSize(now) {
+		return nil
+	}
 	return list
 }
 
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -58,7 +58,7 @@
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
 		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
 		UpstreamsLeaving: v.drains.Reports(now), LinkMbps: int(v.settings.LinkMbps), Ejections: v.ejections.Reports(now), CutOff: v.paths.CutOff(),
-		Dispatches: v.dispatches(),
+		Dispatches: v.dispatches(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
