--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -158,6 +158,8 @@
 	Calls bool `json:"calls,omitempty" cbor:"37,keyasint,omitempty"`
 	// IssuesQuotas is set if other VMs may choose this one to issue quotas.
 	IssuesQuotas bool `json:"issues_quotas,omitempty" cbor:"38,keyasint,omitempty"`
+	// Dispatches is set if other VMs may choose this one to dispatch requests.
+	Dispatches bool `json:"dispatches,omitempty" cbor:"39,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/entryvm/direct.go
+++ b/internal/entryvm/direct.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 )
 
 // directHandler handles a direct message of another VM and returns the reply, nil for none.
@@ -12,8 +14,11 @@
 // directHandlers returns the handlers of direct messages by their kind.
 func (v *VM) directHandlers() map[string]directHandler {
 	return map[string]directHandler{
-		directPermit:       v.serveQuota,
-		directPermitReturn: v.serveQuotaReturn,
+		directPermit:          v.serveQuota,
+		directPermitReturn:    v.serveQuotaReturn,
+		dispatch.KindPlace:    v.dispatch.agent.HandlePlace,
+		dispatch.KindPlaced:   v.dispatch.agent.HandlePlaced,
+		dispatch.KindProgress: v.dispatch.agent.HandleProgress,
 	}
 }
 
