internal/capacity: learn the speeds of upstreams from what all VMs observe

Engines of one service may differ in speed, and the cost model took all at the configured figures. Each VM now counts its first tokens against the estimates, in sums that beacons carry (key 40); the figures learnt from them divide the waits and weigh the homes of prompts where they differ significantly from the median of the service.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -27,6 +27,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/capacity"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
@@ -156,6 +157,8 @@
 	Direct *Direct `json:"-" cbor:"36,keyasint,omitempty"`
 	// Calls is set if the sender serves direct messages.
 	Calls bool `json:"calls,omitempty" cbor:"37,keyasint,omitempty"`
+	// Capacity holds sums of what the VM has observed of upstreams, see capacity.Book.
+	Capacity *capacity.Reports `json:"capacity,omitempty" cbor:"40,keyasint,omitempty"`
 }
 
 // Peer is another VM, as described by its last beacon.
--- a/internal/costmodel/costmodel.go
+++ b/internal/costmodel/costmodel.go
@@ -23,6 +23,7 @@
 // Penalties for faults, in milliseconds. Each usually ranks an upstream behind
 // all those without the fault.
 const (
+	overConcurrentPenaltyMS = 200
 	fullPenaltyMS           = 400
 	versionExpiredPenaltyMS = 1_000
 	entryExpiredPenaltyMS   = 5_000
@@ -50,6 +51,13 @@
 	// Local reports whether the upstream is in the data centre of this VM.
 	Local bool
 	Slots int
+	// Speed is the learnt speed against the other upstreams of the service, by which waits
+	// are divided. Weight is the share of the prompts that have their home here, against
+	// that of the others. For both 0 means 1.
+	Speed, Weight float64
+	// Concurrent is the learnt number of requests up to which a plain upstream does not
+	// slow down, or 0 if it is unknown.
+	Concurrent int
 	// Generation is the generation of the parts in Cached, which must not be nil.
 	Generation promptcache.Generation
 	Cached     *promptcache.Estimate
@@ -66,6 +74,8 @@
 	Outdated, VersionExpired bool
 	// FirstSeen is when the incarnation or its present weights were first seen.
 	FirstSeen time.Time
+	// rank is the candidate's weight for the home of the prompt in chooseByRank.
+	rank uint64
 }
 
 func (c *Candidate) healthy() bool { return !c.Avoided && !c.Loading && !c.EntryExpired }
@@ -96,8 +106,10 @@
 	ID string
 	// CostMS is the cost by which the candidate was chosen.
 	CostMS float64
-	// WaitMS is the estimated prefill time of the waiting prompts and this one.
-	WaitMS float64
+	// WaitMS is the estimated prefill time of the waiting prompts and this one, at the
+	// learnt speed. PrefillMS is that at the configured speed and without the wait for
+	// memory in a full cache.
+	WaitMS, PrefillMS float64
 	// FirstTokenMS is the estimated time to the first token: WaitMS, scaled by
 	// the slowdown, plus the time on an idle engine. Of a long prompt only
 	// maxAdmissionTokens count.
@@ -120,6 +132,8 @@
 	Healthy bool
 	// idle reports that no known prompt waits on the upstream.
 	idle bool
+	// speed is the learnt speed of the candidate.
+	speed float64
 	// tie orders plain upstreams of equal cost.
 	tie uint64
 }
@@ -163,7 +177,7 @@
 	if best.ID == "" {
 		return Choice{}, false
 	}
-	excessMS := float64(max(0, best.MissingTokens-maxAdmissionTokens)) / m.Policy.PrefillTokensPerMS
+	excessMS := float64(max(0, best.MissingTokens-maxAdmissionTokens)) / m.Policy.PrefillTokensPerMS / best.speed
 	factor := m.Slowdown.Factor()
 	if best.idle {
 		// An idle engine has no queue, however late first tokens came
@@ -196,17 +210,34 @@
 	if p.Model != "" {
 		choice.CostMS += m.engineCost(&choice, c, p, home, sources[c.Generation])
 	} else {
-		choice.CostMS += m.Policy.PlainMS * float64(c.Load.Requests)
-		choice.tie = c.rendezvousWeight(m.TieKey)
+		choice.CostMS += m.Policy.PlainMS * c.plainRequests()
+		choice.tie = c.uniformWeight(m.TieKey)
+		if c.Concurrent > 0 && c.Load.Requests >= c.Concurrent {
+			faultsMS += overConcurrentPenaltyMS
+		}
 	}
 	choice.CostMS += faultsMS
 	return choice
 }
 
+// speed returns Speed with its default.
+func (c *Candidate) speed() float64 {
+	if c.Speed <= 0 {
+		return 1
+	}
+	return c.Speed
+}
+
+// plainRequests returns the number of requests that a plain upstream of usual speed would
+// have if it took as long for a further one as this upstream.
+func (c *Candidate) plainRequests() float64 {
+	return float64(c.Load.Requests+1)/c.speed() - 1
+}
+
 // baseChoice returns a choice with the costs that do not depend on the prompt,
 // and the penalties of the upstream's faults separately.
 func (m Model) baseChoice(c *Candidate) (choice Choice, faultsMS float64) {
-	choice = Choice{ID: c.ID, FreeSlots: c.Slots - c.Load.Requests, Healthy: c.healthy(), idle: c.Load.WaitingTokens == 0}
+	choice = Choice{ID: c.ID, FreeSlots: c.Slots - c.Load.Requests, Healthy: c.healthy(), idle: c.Load.WaitingTokens == 0, speed: c.speed()}
 	if !c.Local {
 		choice.CostMS += m.Policy.DistanceMS
 	}
@@ -245,8 +276,10 @@
 	}
 	choice.Save = m.StoredTokens != nil && missing > 0
 	choice.MissingTokens = int(missing) + p.UnsharedTokens
-	choice.WaitMS = (float64(c.Load.WaitingTokens) + missing + float64(p.UnsharedTokens)) / m.Policy.PrefillTokensPerMS
+	m.setWait(choice, c, float64(c.Load.WaitingTokens)+missing+float64(p.UnsharedTokens))
 	switch m.Policy.Rule {
+	case ByRandom:
+		return float64(c.uniformWeight(m.TieKey) >> randomCostShift)
 	case ByLoad:
 		return m.Policy.RunningMS * float64(c.Load.Requests)
 	case ByHash:
@@ -255,10 +288,16 @@
 		}
 		return fullPenaltyMS
 	}
-	cost := fetchMS + (float64(c.Load.WaitingTokens)+m.Policy.SharedWeight*missing+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS
+	cost := fetchMS + (float64(c.Load.WaitingTokens)+m.Policy.SharedWeight*missing+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS/c.speed()
 	return cost + m.contentionCost(choice, c, p, shared)
 }
 
+// setWait sets the waits of a choice for the tokens to prefill before the first token.
+func (m Model) setWait(choice *Choice, c *Candidate, tokens float64) {
+	choice.PrefillMS = tokens / m.Policy.PrefillTokensPerMS
+	choice.WaitMS = choice.PrefillMS / c.speed()
+}
+
 // contentionCost returns the cost of the requests running on the engine, of
 // outdated weights and of a full cache. A full cache also adds to choice.WaitMS.
 func (m Model) contentionCost(choice *Choice, c *Candidate, p Prompt, shared int) float64 {
--- a/internal/costmodel/policy.go
+++ b/internal/costmodel/policy.go
@@ -3,7 +3,7 @@
 // Rule is the rule by which Model.Choose selects a candidate.
 type Rule string
 
-// The rules. ByLoad and ByHash exist for comparison with ByPrompt.
+// The rules. The others exist for comparison with ByPrompt.
 const (
 	// ByPrompt weighs the cached part of the prompt, the waiting work and the
 	// distance.
@@ -12,10 +12,15 @@
 	ByLoad Rule = "load"
 	// ByHash selects the prompt's home, see Choice.Home, even if it is full.
 	ByHash Rule = "hash"
+	// ByRandom selects an engine at random, by Model.TieKey.
+	ByRandom Rule = "random"
 )
 
+// randomCostShift turns a hash into a cost of up to fullPenaltyMS for ByRandom.
+const randomCostShift = 64 - 8
+
 // Known reports whether the rule is one of the rules above.
-func (r Rule) Known() bool { return r == ByPrompt || r == ByLoad || r == ByHash }
+func (r Rule) Known() bool { return r == ByPrompt || r == ByLoad || r == ByHash || r == ByRandom }
 
 // Policy holds the weights of the costs of an upstream. Costs are in
 // milliseconds until the first token. Fields that are zero get their defaults.
--- a/internal/costmodel/rendezvous.go
+++ b/internal/costmodel/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -39,9 +40,26 @@
 // Hash returns the hash of an upstream's ID for Candidate.IDHash.
 func Hash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// rendezvousWeight mixes the hashes of the prompt and the upstream with the
-// finalizer of SplitMix64.
+// rendezvousWeight returns the candidate's rank for the home of a prompt with this key,
+// the largest of which is the home. With a Weight of w it is as if the largest of w ranks
+// counted, so the candidate is the home of w times as many prompts. Ranks of candidates
+// without a Weight do not depend on the others.
 func (c *Candidate) rendezvousWeight(key uint64) uint64 {
+	x := c.uniformWeight(key)
+	if c.Weight <= 0 || c.Weight == 1 {
+		return x
+	}
+	const span = 1 << 64
+	weighted := math.Pow((float64(x)+0.5)/span, 1/c.Weight) * span
+	if weighted >= span {
+		return math.MaxUint64
+	}
+	return uint64(weighted)
+}
+
+// uniformWeight mixes the hashes of the prompt and the upstream with the finalizer of
+// SplitMix64.
+func (c *Candidate) uniformWeight(key uint64) uint64 {
 	x := key ^ c.IDHash
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -66,7 +84,8 @@
 		if !c.Pickable {
 			continue
 		}
-		if home == nil || cmp.Or(cmp.Compare(c.rendezvousWeight(key), home.rendezvousWeight(key)), strings.Compare(c.ID, home.ID)) > 0 {
+		c.rank = c.rendezvousWeight(key)
+		if home == nil || cmp.Or(cmp.Compare(c.rank, home.rank), strings.Compare(c.ID, home.ID)) > 0 {
 			home = c
 		}
 	}
@@ -77,11 +96,12 @@
 // if the home is busy. Cached parts may be fetched from all candidates.
 func (m Model) chooseByRank(now time.Time, candidates []Candidate, p Prompt) Choice {
 	key := p.key()
-	byRank := func(a, b *Candidate) int { return cmp.Compare(b.rendezvousWeight(key), a.rendezvousWeight(key)) }
+	byRank := func(a, b *Candidate) int { return cmp.Compare(b.rank, a.rank) }
 	ranked := make([]*Candidate, 0, rendezvousCandidates+1)
 	sources := make(map[promptcache.Generation]*rendezvousSources)
 	for i := range candidates {
 		c := &candidates[i]
+		c.rank = c.rendezvousWeight(key)
 		s := sources[c.Generation]
 		if s == nil {
 			s = &rendezvousSources{stored: m.storeSource(c.Generation, p.Parts)}
@@ -175,11 +195,11 @@
 		choice.CostMS += m.Policy.FetchMS
 	}
 	choice.MissingTokens = int(toCompute) + p.UnsharedTokens
-	choice.WaitMS = (float64(c.Load.WaitingTokens) + toCompute + float64(p.UnsharedTokens)) / m.Policy.PrefillTokensPerMS
+	m.setWait(&choice, c, float64(c.Load.WaitingTokens)+toCompute+float64(p.UnsharedTokens))
 	// Under overload, recomputing delays all requests, so shared tokens weigh
 	// more and prompts stay on their home.
 	weighted := m.Policy.SharedWeight * m.Slowdown.Factor() * missing
-	choice.CostMS += (float64(c.Load.WaitingTokens)+weighted+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS + rankPenaltyMS*float64(rank)
+	choice.CostMS += (float64(c.Load.WaitingTokens)+weighted+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS/c.speed() + rankPenaltyMS*float64(rank)
 	choice.CostMS += m.contentionCost(&choice, c, p, shared) + faultsMS
 	return choice
 }
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -169,6 +169,9 @@
 // Up reports whether the engine is running.
 func (e *Engine) Up() bool { return !e.down }
 
+// SetSlowdown changes Options.Slowdown from the next step on.
+func (e *Engine) SetSlowdown(factor float64) { e.opts.Slowdown = factor }
+
 // Requests returns the number of waiting and running requests.
 func (e *Engine) Requests() int { return len(e.waiting) + len(e.running) }
 
--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -58,6 +58,7 @@
 		Updated: v.upstreams.UpdatedVersions(now), Desired: v.upstreams.DesiredAges(now), SuspectReports: v.crashTracker.Reports(now),
 		Limits: v.limits.Reports(now), IssuesPermits: v.issuesPermits(now),
 		UpstreamsLeaving: v.drains.Reports(now), LinkMbps: int(v.settings.LinkMbps), Ejections: v.ejections.Reports(now), CutOff: v.paths.CutOff(),
+		Capacity: v.capacity.Reports(now),
 	}
 	switch {
 	case v.drainStarted.Load() != 0:
@@ -130,6 +131,7 @@
 	v.learnLimits(now, m)
 	v.learnDrains(now, m)
 	v.learnEjections(now, m)
+	v.learnCapacity(now, m)
 	v.mergeDesiredAges(now, m.Desired)
 	for _, s := range m.Suspected {
 		metrics.GetOrRegisterCounter("suspicions.received", v.metrics).Inc(1)
@@ -307,6 +309,7 @@
 		v.recordUpstreamChanges(now, v.upstreams.RemoveExpired(now))
 		v.maintainLimits(now)
 		v.maintainAvailability(now)
+		v.maintainCapacity(now)
 		v.updateBuilds(now)
 		// VMs that have recently fallen silent are counted too: a VM that is cut off
 		// from the others still belongs to a large fleet.
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -45,6 +45,8 @@
 	Ejections map[string]int64 `json:"ejections"`
 	// Brittle holds the requests that upstreams can turn away in a second, by incarnation.
 	Brittle map[string]float64 `json:"brittle"`
+	// Capacity holds what is learnt of the speed of upstreams.
+	Capacity CapacityStatus `json:"capacity"`
 	// Relayed holds for how many milliseconds upstreams have been reached only through
 	// other VMs, by incarnation, and RelayedForOthers is the number of connections that
 	// this VM has open for others.
@@ -59,7 +61,7 @@
 		Loading: v.upstreams.Loading(now), Peers: v.beacon.Alive(now), Fence: v.elector.Fence(), Leading: v.elector.Holds(now),
 		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now), Streams: v.streams.Status(now),
 		UpstreamsLeaving: v.drains.Ages(now), Backoffs: v.backoffs.Remaining(now), Ejections: v.ejections.Ages(now),
-		Brittle: v.brittle.Numbers(), Relayed: v.paths.Ages(now), RelayedForOthers: v.relayServer.Tunnels(),
+		Brittle: v.brittle.Numbers(), Capacity: v.capacityStatus(), Relayed: v.paths.Ages(now), RelayedForOthers: v.relayServer.Tunnels(),
 	}
 	if c := v.configuration.Current(); c != nil {
 		d.Version = c.Version()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -39,6 +39,7 @@
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/cacheevents"
+	"github.com/hibiscuscove/hibiscuscove/internal/capacity"
 	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
@@ -119,6 +120,7 @@
 	backoffs              *health.Backoffs
 	ejections             *health.Ejections
 	brittle               *health.Brittle
+	capacity              *capacity.Book
 	watchers              *watchers.Tracker
 	leaders               *leader.Tracker
 	paths                 *relay.Paths
@@ -144,6 +146,9 @@
 	// drainStarted is when the VM began to stop, in Unix nanoseconds, or 0.
 	drainStarted atomic.Int64
 
+	// capacityShown holds the incarnations whose figures are on the metrics page. Only
+	// maintainUpstreams uses it.
+	capacityShown map[string]bool
 	// versionsListed reports whether the desired versions have been listed once. Only
 	// the goroutine of their follower uses it.
 	versionsListed bool
@@ -175,6 +180,7 @@
 		drains:        health.NewDrains(milliseconds(s.DrainMS) - drainNoticeMargin),
 		backoffs:      health.NewBackoffs(s.Name),
 		ejections:     health.NewEjections(s.Name),
+		capacity:      capacity.NewBook(),
 		paths:         relay.NewPaths(),
 		metrics:       metrics.NewRegistry(),
 		pageClient:    newPageClient(newPeerClient()),
@@ -188,7 +194,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	limits := roster.VersionLimits{MaxSpan: milliseconds(s.VersionMS) - versionMargin, MaxTotal: milliseconds(s.VersionTotalMS) - versionMargin}
-	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), VersionLimits: limits, Policy: costmodel.Policy{
+	v.upstreams = roster.New(roster.Options{DataCentre: s.DataCentre, Seed: xxhash.Sum64String(s.Name), Observer: v.capacity, VersionLimits: limits, Policy: costmodel.Policy{
 		Rule: costmodel.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
 	v.brittle = health.NewBrittle(s.Name, v.peerNames)
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -145,6 +145,7 @@
 	inFlight := v.table.Start(now, choice.Upstream, roster.Load{
 		Requests: 1, WaitingTokens: choice.MissingTokens, Tokens: shared + c.prompt.unsharedTokens + c.prompt.outputTokens,
 	}, c.prompt.shared, c.prompt.unsharedTokens+c.prompt.outputTokens)
+	inFlight.ExpectPrefill(choice.PrefillMS)
 	c.estimateMS, c.startedAt = choice.FirstTokenMS, now
 	f.loop.After(delay, func() {
 		if e.Offer(c.engineRequest(e, choice, inFlight, delay)) {
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -94,6 +94,12 @@
 	engineOptions := func(slots, memory, fullSpeedLoads int) enginemodel.Options {
 		return enginemodel.Options{Slots: slots, MaxQueue: 3 * slots, CacheTokens: memory, LinkTokensPerMS: engineLink, FullSpeedLoads: fullSpeedLoads}
 	}
+	viewerEngine := engineOptions(24, 61_148, 18)
+	viewerEngine.PrefillTokensPerMS, viewerEngine.StepMS = 38.4, 4.73
+	stream := func(c Class, target, timeout time.Duration, priority int) Class {
+		c.Target, c.Timeout, c.Priority = target, timeout, priority
+		return c
+	}
 	limits := roster.VersionLimits{MaxSpan: 13_500 * time.Millisecond, MaxTotal: 19_500 * time.Millisecond}
 	grownLimits := roster.VersionLimits{MaxSpan: 18_500 * time.Millisecond, MaxTotal: 26_500 * time.Millisecond}
 	return []Deployment{
@@ -117,6 +123,14 @@
 			StoreTokens: 3_153_675, StoreLinkTokensPerMS: 230 * gbitPerS, NearDelay: 200 * time.Microsecond, FarDelay: 900 * time.Microsecond,
 			Classes: []Class{checkClass("spec-read", 567, 1_647, 7.4), replyClass("ticket-sum", 269, 40, 1_760, 42)}, EventLag: 200 * time.Millisecond, EventLoss: 0.01, VersionLimits: grownLimits,
 		},
+		{
+			Name: "map-viewer", DataCentres: 3, VMs: 58, Engines: 90, Engine: viewerEngine,
+			StoreTokens: 2_100_000, StoreLinkTokensPerMS: 150 * gbitPerS, NearDelay: 200 * time.Microsecond, FarDelay: 700 * time.Microsecond,
+			Classes: []Class{
+				stream(checkClass("survey-read", 135, 640, 9), 800*time.Millisecond, 5*time.Second, 1),
+				stream(replyClass("place-sum", 237, 40, 1_760, 49), 500*time.Millisecond, 15*time.Second, 0),
+			}, EventLag: 80 * time.Millisecond, EventLoss: 0.01, VersionLimits: grownLimits,
+		},
 	}
 }
 
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/capacity"
 	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/enginemodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -57,7 +58,7 @@
 // Options select an experiment.
 type Options struct {
 	Deployment, Pattern, Policy string
-	// Weights replaces the policy if it is set.
+	// Weights replaces the weights of the policy if it is set.
 	Weights *costmodel.Policy
 	Seed    uint64
 	// Duration is how long requests arrive, in virtual time. The default is 30 s.
@@ -70,7 +71,7 @@
 	rng        *rand.Rand
 	deployment Deployment
 	opts       Options
-	policy     costmodel.Policy
+	policy     Policy
 	engines    []*engine
 	vms        []*vm
 	store      *enginemodel.Store
@@ -99,6 +100,14 @@
 	*enginemodel.Engine
 	upstream   roster.Upstream
 	dataCentre int
+	// slowdown is the present factor on the time of each step.
+	slowdown float64
+}
+
+// setSlowdown changes the speed of an engine.
+func (e *engine) setSlowdown(factor float64) {
+	e.slowdown = factor
+	e.SetSlowdown(factor)
 }
 
 // vm is a simulated entry VM.
@@ -118,6 +127,9 @@
 	storeEpoch     uint64
 	nextStoreEvent int
 	name           string
+	// process and book are of the present start of the VM.
+	process int64
+	book    *capacity.Book
 }
 
 // Run runs one experiment. It returns an error if the deployment, the pattern or the
@@ -136,7 +148,10 @@
 		return Result{}, fmt.Errorf("experiment: no policy %q", opts.Policy)
 	}
 	if opts.Weights != nil {
-		policy = *opts.Weights
+		policy.Policy = *opts.Weights
+	}
+	if policy.PrefillTokensPerMS == 0 {
+		policy.PrefillTokensPerMS = d.Engine.PrefillTokensPerMS
 	}
 	if opts.Duration <= 0 {
 		opts.Duration = defaultDuration
@@ -154,10 +169,12 @@
 	return *f.result, nil
 }
 
-// Policies returns the policies by name.
-func Policies() map[string]costmodel.Policy {
-	return map[string]costmodel.Policy{
-		"ours": {}, "least-loaded": {Rule: costmodel.ByLoad}, "hash": {Rule: costmodel.ByHash},
+// Policies returns the policies by name. "previous" does not learn the speeds of engines,
+// and "oracle" knows them.
+func Policies() map[string]Policy {
+	return map[string]Policy{
+		"ours": {Speeds: learntSpeeds}, "previous": {}, "oracle": {Speeds: trueSpeeds}, "random": {Policy: costmodel.Policy{Rule: costmodel.ByRandom}},
+		"least-loaded": {Policy: costmodel.Policy{Rule: costmodel.ByLoad}}, "hash": {Policy: costmodel.Policy{Rule: costmodel.ByHash}},
 	}
 }
 
@@ -170,7 +187,7 @@
 	return longest
 }
 
-func newFleet(d Deployment, opts Options, policy costmodel.Policy) *fleet {
+func newFleet(d Deployment, opts Options, policy Policy) *fleet {
 	f := &fleet{
 		loop: virtualtime.New(epoch), rng: rand.New(rand.NewPCG(opts.Seed, 1)), deployment: d, opts: opts, policy: policy,
 		store: enginemodel.NewStore(d.StoreTokens, storeBlockTokens, d.StoreLinkTokensPerMS), loading: &enginemodel.LoadingCounter{},
@@ -187,7 +204,7 @@
 			engineOptions.Slowdown = slowEngineFactor
 		}
 		f.engines = append(f.engines, &engine{
-			Engine: enginemodel.New(f.loop, f.loading, engineOptions), dataCentre: dc,
+			Engine: enginemodel.New(f.loop, f.loading, engineOptions), dataCentre: dc, slowdown: max(1, engineOptions.Slowdown),
 			upstream: roster.Upstream{
 				ID: fmt.Sprintf("e%03d", i), Service: service, Address: fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), DataCentre: dataCentreName(dc),
 				Slots: d.Engine.Slots, Born: 1, Model: model, Version: 1,
@@ -196,8 +213,8 @@
 	}
 	for i := range d.VMs {
 		dc := i % d.DataCentres
-		v := &vm{dataCentre: dc, up: true, name: fmt.Sprintf("v%03d", i)}
-		v.table = f.newTable(dc)
+		v := &vm{dataCentre: dc, up: true, name: fmt.Sprintf("v%03d", i), book: capacity.NewBook()}
+		v.table = f.newTable(v)
 		f.vms = append(f.vms, v)
 	}
 	f.startExchange()
@@ -208,8 +225,10 @@
 
 // newTable returns the roster of a VM that has just started: it knows the list of
 // upstreams and the desired version.
-func (f *fleet) newTable(dc int) *roster.Table {
-	t := roster.New(roster.Options{DataCentre: dataCentreName(dc), Policy: f.policy, VersionLimits: f.deployment.VersionLimits})
+func (f *fleet) newTable(v *vm) *roster.Table {
+	t := roster.New(roster.Options{
+		DataCentre: dataCentreName(v.dataCentre), Policy: f.policy.Policy, Seed: costmodel.Hash(v.name), Observer: v.book, VersionLimits: f.deployment.VersionLimits,
+	})
 	t.SetCacheTokens(service, f.deployment.Engine.CacheTokens)
 	t.SetStore(roster.Upstream{ID: "store", Address: "10.9.9.9:80"})
 	t.SetFleetSize(f.deployment.VMs)
@@ -236,6 +255,7 @@
 		}
 		f.loop.After(time.Duration(f.rng.Int64N(int64(beaconInterval))), func() { f.loop.Every(beaconInterval, func() { f.sendBeacon(v) }) })
 		f.followStore(v)
+		f.followSpeeds(v)
 	}
 	for _, e := range f.engines {
 		f.loop.After(time.Duration(f.rng.Int64N(int64(collectInterval))), func() { f.loop.Every(collectInterval, func() { f.sendCacheEvents(e) }) })
@@ -262,6 +282,7 @@
 	for _, r := range v.recentlySent {
 		sent = append(sent, r...)
 	}
+	reports, process := v.book.Reports(now), v.process
 	announced, updated, avoided := v.table.Announcements(now), v.table.UpdatedVersions(now), v.table.Avoided(now)
 	for _, p := range targets {
 		if v.partitioned || p.partitioned || f.rng.Float64() < datagramLoss {
@@ -273,6 +294,7 @@
 			}
 			receivedAt := f.loop.Now()
 			p.table.SetPeerState(receivedAt, v.name, roster.PeerState{Loads: loads, Sent: sent, Avoided: avoided})
+			p.book.Learn(receivedAt, v.name, process, reports)
 			for _, a := range announced {
 				p.table.RecordAnnouncement(receivedAt.Add(-time.Duration(a.AgeMS)*time.Millisecond), a.ID, a.Version)
 			}
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/capacity"
 	"github.com/hibiscuscove/hibiscuscove/internal/rollout"
 )
 
@@ -71,6 +72,18 @@
 				}
 			})
 		}},
+		{"uneven-engines", "engines have 0.7, 0.7 and 1.7 times the usual speed", func(f *fleet) {
+			f.unevenEngines()
+		}},
+		{"engine-slows-down", "one engine in nine becomes 2.5 times slower for a third of the day", func(f *fleet) {
+			f.duringFault(10, func(on bool) {
+				for i, e := range f.engines {
+					if i%9 == 0 {
+						e.setSlowdown(choose(on, 2.5, 1))
+					}
+				}
+			})
+		}},
 	} {
 		all[p.Name] = p
 	}
@@ -155,7 +168,8 @@
 	const startTime = 700 * time.Millisecond
 	v.up = false
 	f.loop.After(startTime, func() {
-		v.table, v.up, v.recentlySent, v.storeEpoch, v.nextStoreEvent = f.newTable(v.dataCentre), true, nil, 0, 0
+		v.book, v.process = capacity.NewBook(), v.process+1
+		v.table, v.up, v.recentlySent, v.storeEpoch, v.nextStoreEvent = f.newTable(v), true, nil, 0, 0
 	})
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -195,6 +195,9 @@
 	j.dropOthers(l)
 	j.runs++
 	j.failed = status >= http.StatusBadRequest
+	if !j.failed && !j.Service.Engine {
+		l.InFlight.Complete(j.h.opts.Now())
+	}
 	j.endLeg(l)
 	j.write(bufferedAnswer{l.Response, body})
 	return true, nil
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -423,6 +423,7 @@
 		WaitingTokens: choice.MissingTokens,
 		Tokens:        j.Head.PromptTokens + j.Head.OutputTokens,
 	}, query.Parts, query.UnsharedTokens+query.OutputTokens)
+	inFlight.ExpectPrefill(choice.PrefillMS)
 	l := leg.New(leg.Options{
 		Upstream: u, Choice: choice, InFlight: inFlight, SentAt: now, Beside: beside, Cancel: cancel,
 		Observe: j.h.observeAvailability, Now: j.h.opts.Now, Codec: j.h.opts.Codec, Bodies: j.h.opts.Bodies,
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -29,6 +29,11 @@
 	firstTokenOnce sync.Once
 	finishOnce     sync.Once
 	startedAt      time.Time
+	// incarnation is the upstream's, and inFlight the number of requests there at the
+	// start, this one included. prefillMS is set by ExpectPrefill.
+	incarnation string
+	inFlight    int
+	prefillMS   float64
 }
 
 // Start counts a request on an upstream and records its shared parts as cached
@@ -37,8 +42,10 @@
 func (t *Table) Start(now time.Time, u Upstream, load Load, shared []Part, unshared int) *InFlight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	f := &InFlight{table: t, id: u.ID, load: load, startedAt: now, incarnation: u.Incarnation()}
 	if m := t.members[u.ID]; m != nil {
 		m.ownLoad = m.ownLoad.Plus(load)
+		f.inFlight = t.memberLoad(m).Requests
 		if !t.partialView {
 			m.cached.RecordUse(now, shared, unshared, t.cacheTokens[u.Service])
 		}
@@ -46,7 +53,7 @@
 	if !t.partialView && len(shared) > 0 && len(t.sent) < maxSent {
 		t.sent = append(t.sent, Sent{u.ID, shared, unshared})
 	}
-	return &InFlight{table: t, id: u.ID, load: load, startedAt: now}
+	return f
 }
 
 // FirstToken records the arrival of the first token. waitMS is the WaitMS of
@@ -54,6 +61,7 @@
 func (f *InFlight) FirstToken(now time.Time, waitMS float64) {
 	f.firstTokenOnce.Do(func() {
 		f.addLoad(Load{WaitingTokens: -f.load.WaitingTokens})
+		f.observeFirstToken(now)
 		f.table.mu.Lock()
 		defer f.table.mu.Unlock()
 		f.table.slowdown = f.table.slowdown.With(now.Sub(f.startedAt), f.table.opts.Policy.IdleFirstTokenMS, waitMS)
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -42,8 +42,10 @@
 	Upstream Upstream
 	// CostMS is the cost by which the upstream was picked, in milliseconds.
 	CostMS float64
-	// WaitMS is the estimated prefill time of the waiting prompts and this one.
-	WaitMS float64
+	// WaitMS is the estimated prefill time of the waiting prompts and this one, at the
+	// learnt speed of the upstream. PrefillMS is that at the configured speed, for
+	// InFlight.ExpectPrefill.
+	WaitMS, PrefillMS float64
 	// FirstTokenMS is the estimated time to the first token: WaitMS, scaled by
 	// the recent slowdown of first tokens, plus the time on an idle engine. Of
 	// a long prompt only a limited number of missing tokens counts, so that it is admitted or
@@ -98,7 +100,7 @@
 		return Choice{}, false
 	}
 	choice := Choice{
-		Upstream: t.members[best.ID].upstream, CostMS: best.CostMS, WaitMS: best.WaitMS, FirstTokenMS: best.FirstTokenMS,
+		Upstream: t.members[best.ID].upstream, CostMS: best.CostMS, WaitMS: best.WaitMS, PrefillMS: best.PrefillMS, FirstTokenMS: best.FirstTokenMS,
 		MissingTokens: best.MissingTokens, FreeSlots: best.FreeSlots, Candidates: allowed, Home: best.Home, Healthy: best.Healthy,
 	}
 	if best.Save {
@@ -151,6 +153,7 @@
 	limit := t.opts.VersionLimits.MaxSpan
 	return costmodel.Candidate{
 		ID: u.ID, IDHash: m.idHash, Pickable: pickable, Local: u.DataCentre == t.opts.DataCentre, Slots: u.Slots,
+		Speed: m.capacity.Speed, Weight: m.capacity.Weight, Concurrent: m.capacity.Concurrent,
 		Generation: u.Generation(), Cached: m.cached, CacheTokens: t.cacheTokens[u.Service],
 		Load: t.memberLoad(m), OwnRequests: m.ownLoad.Requests,
 		Avoided: t.isAvoided(now, m), Loading: m.loading.Active(now), EntryExpired: !m.entryExpiredAt.IsZero(),
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -84,6 +84,8 @@
 	updatedAt time.Time
 	// firstSeen is when this incarnation or its present weights were first seen.
 	firstSeen time.Time
+	// capacity is what is learnt of this incarnation.
+	capacity Capacity
 }
 
 func newMember(now time.Time, u Upstream) *member {
@@ -105,6 +107,9 @@
 	VersionLimits VersionLimits
 	// Seed differs between VMs, so that they order upstreams of equal cost differently.
 	Seed uint64
+	// Observer gets what requests show of the upstreams' capacity. It may be nil. It is
+	// called without the table's lock.
+	Observer Observer
 }
 
 // Table holds the upstreams and picks among them.
