--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -105,13 +105,18 @@
 	ownLevels []LevelSums
 	changedAt time.Time
 	estimate  estimate
-	levels    levels
-	figure    Figure
+	// ratio is the observed against the expected wait, and difference the logarithm of the
+	// speed against the median of the service.
+	ratio, difference float64
+	levels            levels
+	figure            Figure
 }
 
 // service is what a Book holds of a service.
 type service struct {
 	uneven bool
+	// ratio is the mean of observed against expected waits at the last Refresh, or 0.
+	ratio float64
 	// differsAt is when enough of its upstreams last differed.
 	differsAt time.Time
 }
@@ -172,11 +177,15 @@
 }
 
 const (
-	// minExpectedMS is the shortest expected wait that is an observation. Of shorter ones
-	// the time of a single step of the engine is a large part.
-	minExpectedMS = 20
-	// maxRatio bounds the influence of one observation.
-	maxRatio = 8
+	// minExpectedMS is the shortest expected wait that is an observation. Shorter ones say
+	// nothing, since the steps of an engine take as long.
+	minExpectedMS = 5
+	// maxRatio bounds the influence of one observation: it counts as at most that many times
+	// the service's usual wait for what was expected. In covesim, four tells engines apart
+	// with fewer observations than eight.
+	maxRatio = 4
+	// minRatioDivisor bounds it from below, for waits that fetched prompts make short.
+	minRatioDivisor = 16
 )
 
 // Observe records a sound first token of this VM's. expected is the estimated time to
@@ -186,19 +195,29 @@
 	if expected < minExpectedMS*time.Millisecond {
 		return
 	}
-	observed = min(max(observed, expected/maxRatio), expected*maxRatio)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.byName[incarnation]
 	if e == nil {
 		return
 	}
-	s := waitSums{1, uint64(expected.Milliseconds()), uint64(observed.Milliseconds())}
+	usual := time.Duration(float64(expected) * b.usualRatio(e.upstream.Service))
+	observed = min(max(observed, expected/minRatioDivisor), usual*maxRatio)
+	s := waitSums{1, uint64(expected.Milliseconds()), uint64(max(1, observed.Milliseconds()))}
 	e.own = e.own.plus(s)
 	e.changedAt = now
 	e.estimate.add(now, s.floats())
 }
 
+// usualRatio returns the mean ratio of observed to expected waits in a service, which is 1
+// at least.
+func (b *Book) usualRatio(name string) float64 {
+	if s := b.services[name]; s != nil {
+		return max(1, s.ratio)
+	}
+	return 1
+}
+
 // maxPlainTime bounds the time of a plain request that counts.
 const maxPlainTime = 5 * time.Second
 
--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -10,22 +10,34 @@
 	// halfLifeSamples is the number of observations after which earlier ones count half.
 	// With it about 100 count, whose mean is off by a tenth.
 	halfLifeSamples = 70
-	// bucketTime and bucketCount make up the window in which changes are noticed. At the 4
-	// requests a second that an engine gets it holds 12 observations, the fewest that tell
-	// a change by a factor of 2.5 from noise.
+	// bucketTime and bucketCount make up the last 12 s, in which changes are noticed. At the
+	// 4 requests a second that an engine gets, the shortest window of 3 s holds 12
+	// observations, the fewest that tell a change by a factor of 2.5 from noise.
 	bucketTime  = 500 * time.Millisecond
-	bucketCount = 6
-	// sampleSpread is the assumed standard deviation of the logarithm of one observation.
-	// Queueing spreads first tokens by a factor of two to three.
-	sampleSpread = 1.0
-	// minDeviations is the number of standard deviations that make a difference
-	// significant, and keptDeviations that of one that was.
-	minDeviations  = 3
-	keptDeviations = 1.5
-	// minRatio is the dead band: smaller differences have no effect. A difference that
-	// has an effect keeps it down to keptRatio.
+	bucketCount = 24
+	// sampleSpread is the standard deviation of the logarithm of one observation, and
+	// loadSpread that between engines of equal speed, some of which have more popular
+	// prompts than others. In covesim, means of 10 and of 70 observations deviate by 0.33
+	// and 0.18.
+	sampleSpread = 1.1
+	loadSpread   = 0.15
+	// minDeviations is the number of standard deviations that make a difference, and
+	// keptDeviations that of one that was. In a service that is not uneven a difference has
+	// an effect from aloneDeviations on: of 140 engines of equal speed, one to three reach
+	// minDeviations at times. changeDeviations is that of the last seconds from what was
+	// before, since a change only shortens the memory.
+	minDeviations    = 3.2
+	keptDeviations   = 1.5
+	aloneDeviations  = 4
+	changeDeviations = 2.8
+	// minRatio is the dead band: smaller differences have no effect. A difference that has
+	// an effect keeps it down to keptRatio.
 	minRatio  = 1.5
-	keptRatio = 1.25
+	keptRatio = 1.3
+	// keptTime is how long a difference has its effect after it has become smaller.
+	keptTime = 3 * time.Second
+	// changeRatio is the least change by which earlier observations are forgotten.
+	changeRatio = 1.5
 	// minSamples is the number of observations without which nothing is significant.
 	minSamples = 12
 	// priorSamples is the number of observations at the mean of its service that an
@@ -52,11 +64,12 @@
 	minWeightSamples = 30
 	weightDelay      = 3 * time.Second
 
-	// A service is uneven if unevenPart of its upstreams differ, and unevenMin of them,
-	// and for unevenHold after that.
-	unevenPart = 0.1
-	unevenMin  = 2
-	unevenHold = 10 * time.Second
+	// A service is uneven if unevenPart of its upstreams differ by unevenRatio, and
+	// unevenMin of them, and for unevenHold after that.
+	unevenPart  = 0.1
+	unevenMin   = 2
+	unevenRatio = 1.5
+	unevenHold  = 10 * time.Second
 )
 
 // sums are observations that decay.
@@ -82,13 +95,17 @@
 
 // estimate is the observations of one incarnation.
 type estimate struct {
-	// long holds about 100 observations, buckets those of the last 3 s by time.
+	// long holds about 100 observations, buckets those of the last 12 s by time.
 	long    sums
 	buckets [bucketCount]sums
 	// bucket is the number of the newest bucket since the epoch.
 	bucket int64
 	lastAt time.Time
-	// significant is set while the difference from the median is, since since.
+	// differs is set while there is a difference from the median, and heldAt is when there
+	// last was.
+	differs bool
+	heldAt  time.Time
+	// significant is set while the difference has an effect, since since.
 	significant bool
 	since       time.Time
 	// step is the weight in steps, which last changed at stepAt.
@@ -116,31 +133,50 @@
 	e.lastAt = now
 }
 
-// recent returns the observations of the last 3 s.
-func (e *estimate) recent(now time.Time) sums {
+// windows are the numbers of buckets, of the last 3, 6 and 12 s, in which changes are
+// noticed.
+var windows = [...]int{6, 12, bucketCount}
+
+// recent returns the observations in each of the windows.
+func (e *estimate) recent(now time.Time) [len(windows)]sums {
 	e.rotate(now)
+	var result [len(windows)]sums
 	var s sums
-	for _, b := range e.buckets {
-		s = s.plus(b)
+	done := 0
+	for w, count := range windows {
+		for ; done < count; done++ {
+			s = s.plus(e.buckets[(e.bucket-int64(done)+bucketCount)%bucketCount])
+		}
+		result[w] = s
 	}
-	return s
+	return result
 }
 
-// followChange forgets all but the last 3 s if these differ from what was before. The means
-// are those of the service, by which a change of all its upstreams cancels out.
-func (e *estimate) followChange(recent, recentMean, longMean sums) {
-	if recent.n < minSamples/2 || e.long.n < 1 || recentMean.expected <= 0 {
-		return
-	}
-	d := math.Abs(math.Log(recent.ratio() / recentMean.ratio() / e.long.ratio() * longMean.ratio()))
-	if d >= math.Log(minRatio) && deviations(d, recent.n) >= minDeviations {
-		e.long = recent
+// followChange forgets all but a window if that differs from what was before. The means are
+// those of the service, by which a change of all its upstreams cancels out.
+func (e *estimate) followChange(recent, recentMean [len(windows)]sums, longMean sums) {
+	for w, s := range recent {
+		if s.n < minSamples/2 {
+			continue
+		}
+		// The first of the window's observations count less in long than the last.
+		before := e.long.plus(s.times(-math.Exp2(-s.n / 2 / halfLifeSamples)))
+		if before.n < minSamples || before.expected <= 0 || before.observed <= 0 {
+			continue
+		}
+		d := math.Abs(math.Log(s.ratio() / recentMean[w].ratio() / before.ratio() * longMean.ratio()))
+		if d >= math.Log(changeRatio) && d >= changeDeviations*sampleSpread*math.Sqrt(1/s.n+1/before.n) {
+			e.long = s
+			return
+		}
 	}
 }
 
 // deviations returns how many standard deviations a difference of logarithms is, with n
 // observations.
-func deviations(d, n float64) float64 { return math.Abs(d) * math.Sqrt(n) / sampleSpread }
+func deviations(d, n float64) float64 {
+	return math.Abs(d) / math.Sqrt(sampleSpread*sampleSpread/n+loadSpread*loadSpread)
+}
 
 // agedSamples returns the number of observations that count, given their age.
 func (e *estimate) agedSamples(now time.Time) float64 {
@@ -151,15 +187,24 @@
 	return min(maxAgedSamples, e.long.n) * math.Exp2(-float64(idle)/float64(ageHalfLife))
 }
 
-// decide updates whether a difference from the median, given as a logarithm, takes effect,
-// and the weight.
-func (e *estimate) decide(now time.Time, d float64) {
+// compare updates whether a difference from the median, given as a logarithm, is one.
+func (e *estimate) compare(now time.Time, d float64) {
 	n := e.agedSamples(now)
-	least, deviationsNeeded := math.Log(minRatio), float64(minDeviations)
-	if e.significant {
+	least, deviationsNeeded := math.Log(minRatio), minDeviations
+	if e.differs {
 		least, deviationsNeeded = math.Log(keptRatio), keptDeviations
 	}
-	significant := math.Abs(d) >= least && deviations(d, n) >= deviationsNeeded && (e.significant || n >= minSamples)
+	differs := math.Abs(d) >= least && deviations(d, n) >= deviationsNeeded && (e.differs || n >= minSamples)
+	if differs {
+		e.heldAt = now
+	}
+	e.differs = differs || e.differs && now.Sub(e.heldAt) < keptTime
+}
+
+// decide updates whether the difference has an effect, and the weight.
+func (e *estimate) decide(now time.Time, d float64, uneven bool) {
+	n := e.agedSamples(now)
+	significant := e.differs && (uneven || e.significant || deviations(d, n) >= aloneDeviations)
 	if significant != e.significant {
 		e.significant, e.since = significant, now
 	}
@@ -192,11 +237,16 @@
 	slices.Sort(names)
 	for _, name := range names {
 		list := byService[name]
-		changes = append(changes, refreshService(now, list)...)
-		applyConcurrent(now, list)
-		if b.refreshUneven(now, name, list) {
-			changes = append(changes, Change{Service: name, Uneven: b.services[name].uneven})
+		s := b.services[name]
+		if s == nil {
+			s = &service{}
+			b.services[name] = s
 		}
+		if s.compare(now, list) {
+			changes = append(changes, Change{Service: name, Uneven: s.uneven})
+		}
+		changes = append(changes, s.decide(now, list)...)
+		applyConcurrent(now, list)
 	}
 	for name := range b.services {
 		if byService[name] == nil {
@@ -206,37 +256,50 @@
 	return changes
 }
 
-// refreshService computes the figures of a service's upstreams.
-func refreshService(now time.Time, list []*entry) []Change {
-	recent := make([]sums, len(list))
-	var recentMean, longMean sums
+// compare compares the upstreams of a service with one another and updates whether it is
+// uneven. It reports whether that has changed.
+func (s *service) compare(now time.Time, list []*entry) bool {
+	recent := make([][len(windows)]sums, len(list))
+	var recentMean [len(windows)]sums
+	var longMean sums
 	for i, e := range list {
 		recent[i] = e.estimate.recent(now)
-		recentMean, longMean = recentMean.plus(recent[i]), longMean.plus(e.estimate.long)
+		for w, x := range recent[i] {
+			recentMean[w] = recentMean[w].plus(x)
+		}
+		longMean = longMean.plus(e.estimate.long)
 	}
-	if longMean.n <= 0 {
-		return nil
+	s.ratio = 1
+	if longMean.n > 0 {
+		s.ratio = longMean.ratio()
 	}
 	var certain []float64
-	ratios := make([]float64, len(list))
 	for i, e := range list {
 		e.estimate.followChange(recent[i], recentMean, longMean)
-		ratios[i] = e.estimate.long.drawn(longMean, priorSamples)
+		e.ratio = e.estimate.long.drawn(longMean, priorSamples)
 		if e.estimate.long.n >= minSamples {
-			certain = append(certain, ratios[i])
+			certain = append(certain, e.ratio)
 		}
 	}
-	var changes []Change
 	middle := median(certain)
-	for i, e := range list {
+	for _, e := range list {
+		e.difference = 0
 		// Without a second upstream there is nothing to compare with.
-		d := 0.0
 		if len(certain) >= unevenMin && e.estimate.long.n > 0 {
-			d = math.Log(middle / ratios[i])
+			e.difference = math.Log(middle / e.ratio)
 		}
-		e.estimate.decide(now, d)
+		e.estimate.compare(now, e.difference)
+	}
+	return s.refreshUneven(now, list)
+}
+
+// decide computes the figures of a service's upstreams.
+func (s *service) decide(now time.Time, list []*entry) []Change {
+	var changes []Change
+	for _, e := range list {
+		e.estimate.decide(now, e.difference, s.uneven)
 		old := e.figure
-		e.figure = e.newFigure(now, ratios[i], d)
+		e.figure = e.newFigure(now)
 		if old.Slow != e.figure.Slow || old.Fast != e.figure.Fast || old.Weight != e.figure.Weight {
 			changes = append(changes, Change{Figure: e.figure})
 		}
@@ -244,11 +307,11 @@
 	return changes
 }
 
-// newFigure returns the figure for an observed ratio and its difference from the median.
-func (e *entry) newFigure(now time.Time, ratio, d float64) Figure {
+// newFigure returns the figure for the last comparison.
+func (e *entry) newFigure(now time.Time) Figure {
 	f := neutralFigure(e.upstream)
 	n := e.estimate.agedSamples(now)
-	f.Factor, f.Measured, f.Samples, f.Confidence = 1/ratio, math.Exp(d), n, n/(n+priorSamples)
+	f.Factor, f.Measured, f.Samples, f.Confidence = 1/e.ratio, math.Exp(e.difference), n, n/(n+priorSamples)
 	if !e.estimate.lastAt.IsZero() {
 		f.AgeMS = now.Sub(e.estimate.lastAt).Milliseconds()
 	}
@@ -256,7 +319,7 @@
 	f.Concurrent = e.figure.Concurrent
 	if e.estimate.significant {
 		f.Relative = min(maxFactor, max(1.0/maxFactor, f.Measured))
-		f.Slow, f.Fast = d < 0, d > 0
+		f.Slow, f.Fast = e.difference < 0, e.difference > 0
 	}
 	return f
 }
@@ -275,15 +338,10 @@
 }
 
 // refreshUneven updates whether a service is uneven and reports whether that has changed.
-func (b *Book) refreshUneven(now time.Time, name string, list []*entry) bool {
-	s := b.services[name]
-	if s == nil {
-		s = &service{}
-		b.services[name] = s
-	}
+func (s *service) refreshUneven(now time.Time, list []*entry) bool {
 	differing := 0
 	for _, e := range list {
-		if e.estimate.significant && max(e.figure.Relative, 1/e.figure.Relative) >= minRatio {
+		if e.estimate.differs && math.Abs(e.difference) >= math.Log(unevenRatio) {
 			differing++
 		}
 	}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -194,7 +194,9 @@
 	if increase.n > limit {
 		increase = increase.times(limit / increase.n)
 	}
-	increase.observed = min(max(increase.observed, increase.expected/maxRatio), increase.expected*maxRatio)
+	// The peer may know another usual ratio.
+	usual := maxRatio * maxRatio * b.usualRatio(e.upstream.Service)
+	increase.observed = min(max(increase.observed, increase.expected/minRatioDivisor), increase.expected*usual)
 	e.estimate.add(now, increase)
 	return increase.n
 }
