--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -105,7 +105,7 @@
 	ownLevels []LevelSums
 	changedAt time.Time
 	estimate  estimate
-	// ratio is the observed against the expected wait, and difference the logarithm of the
+	// ratio is the observed against the expected wait and the service's ratio, and difference the logarithm of the
 	// speed against the median of the service.
 	ratio, difference float64
 	levels            levels
@@ -115,8 +115,9 @@
 // service is what a Book holds of a service.
 type service struct {
 	uneven bool
-	// ratio is the mean of observed against expected waits at the last Refresh, or 0.
-	ratio float64
+	means  means
+	// spread is the standard deviation of the logarithm of one observation.
+	spread float64
 	// differsAt is when enough of its upstreams last differed.
 	differsAt time.Time
 }
@@ -213,7 +214,7 @@
 // at least.
 func (b *Book) usualRatio(name string) float64 {
 	if s := b.services[name]; s != nil {
-		return max(1, s.ratio)
+		return max(1, s.means.now)
 	}
 	return 1
 }
--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -10,17 +10,29 @@
 	// halfLifeSamples is the number of observations after which earlier ones count half.
 	// With it about 100 count, whose mean is off by a tenth.
 	halfLifeSamples = 70
-	// bucketTime and bucketCount make up the last 12 s, in which changes are noticed. At the
-	// 4 requests a second that an engine gets, the shortest window of 3 s holds 12
-	// observations, the fewest that tell a change by a factor of 2.5 from noise.
+	// bucketTime and bucketCount make up the last 12 s, in which changes are noticed. The
+	// ring has more buckets, for observations between two calls of Refresh.
 	bucketTime  = 500 * time.Millisecond
 	bucketCount = 24
-	// sampleSpread is the standard deviation of the logarithm of one observation, and
-	// loadSpread that between engines of equal speed, some of which have more popular
-	// prompts than others. In covesim, means of 10 and of 70 observations deviate by 0.33
-	// and 0.18.
-	sampleSpread = 1.1
-	loadSpread   = 0.15
+	ringSize    = 32
+	// recentBuckets are those of the last 3 s.
+	recentBuckets = 6
+	// usualSamples is the number of observations at its usual mean by which the mean of a
+	// service in one bucket is steadied: with few observations it would follow each of them.
+	usualSamples = 20
+	// firstSpread is the standard deviation of the logarithm of one observation that a
+	// service starts with, and minSpread and maxSpread bound what is measured. A single
+	// upstream differs with firstSpread at least. loadSpread is that between engines of equal
+	// speed, some of which have more popular prompts than others. In covesim, means of 10 and
+	// of 70 observations deviate by 0.33 and 0.18.
+	firstSpread = 1.1
+	minSpread   = 0.4
+	maxSpread   = 2
+	loadSpread  = 0.15
+	// spreadWeight is the weight of one measurement of the spread in its moving mean, and
+	// minSpreadUpstreams the number of upstreams that one takes.
+	spreadWeight       = 0.05
+	minSpreadUpstreams = 8
 	// minDeviations is the number of standard deviations that make a difference, and
 	// keptDeviations that of one that was. In a service that is not uneven a difference has
 	// an effect from aloneDeviations on: of 140 engines of equal speed, one to three reach
@@ -29,7 +41,7 @@
 	minDeviations    = 3.2
 	keptDeviations   = 1.5
 	aloneDeviations  = 4
-	changeDeviations = 2.8
+	changeDeviations = 3.5
 	// minRatio is the dead band: smaller differences have no effect. A difference that has
 	// an effect keeps it down to keptRatio.
 	minRatio  = 1.5
@@ -38,11 +50,13 @@
 	keptTime = 3 * time.Second
 	// changeRatio is the least change by which earlier observations are forgotten.
 	changeRatio = 1.5
+	// minChangeSamples is the number of observations that make a change.
+	minChangeSamples = 6
 	// minSamples is the number of observations without which nothing is significant.
 	minSamples = 12
 	// priorSamples is the number of observations at the mean of its service that an
 	// upstream starts with.
-	priorSamples = 2
+	priorSamples = 1
 	// maxFactor limits how far the effect of a figure is from 1.
 	maxFactor = 4
 	// Observations count less when no further one has come for ageGrace, half after each
@@ -60,7 +74,8 @@
 	weightHysteresis = 0.75
 	weightInterval   = 5 * time.Second
 	maxWeightSteps   = 3
-	// A weight leaves 1 only after minWeightSamples observations and weightDelay.
+	// A weight changes only with minWeightSamples observations, or with hardly any since
+	// the upstream gets none, and weightDelay after the difference was found or ended.
 	minWeightSamples = 30
 	weightDelay      = 3 * time.Second
 
@@ -81,26 +96,61 @@
 
 func (s sums) times(f float64) sums { return sums{s.n * f, s.expected * f, s.observed * f} }
 
-// ratio returns how much longer the observed waits are than expected.
-func (s sums) ratio() float64 { return s.observed / s.expected }
+func (s sums) minus(t sums) sums { return s.plus(t.times(-1)) }
 
-// drawn returns the ratio of s together with a prior of the given number of observations
-// of the mean.
-func (s sums) drawn(mean sums, prior float64) float64 {
-	if mean.n <= 0 {
+// ratio returns how much longer the observed waits are than expected, or 1 without any.
+func (s sums) ratio() float64 {
+	if s.expected <= 0 || s.observed <= 0 {
 		return 1
 	}
-	return s.plus(mean.times(prior / mean.n)).ratio()
+	return s.observed / s.expected
+}
+
+// drawn returns the ratio of s together with n observations of a ratio.
+func (s sums) drawn(n, ratio float64) float64 {
+	if s.n <= 0 {
+		return ratio
+	}
+	mean := s.expected / s.n
+	return s.plus(sums{n, n * mean, n * mean * ratio}).ratio()
+}
+
+// decayed returns what is left of s after n further observations.
+func (s sums) decayed(n float64) sums { return s.times(math.Exp2(-n / halfLifeSamples)) }
+
+// ring holds observations by the time at which they were made.
+type ring struct {
+	buckets [ringSize]sums
+	// newest is the number of the newest bucket since the epoch.
+	newest int64
+}
+
+// bucketOf returns the number of the bucket of a time.
+func bucketOf(now time.Time) int64 { return now.UnixNano() / int64(bucketTime) }
+
+// at returns the bucket with a number, which must be among the last ringSize.
+func (r *ring) at(number int64) *sums { return &r.buckets[(number%ringSize+ringSize)%ringSize] }
+
+// rotate makes the bucket of the present time the newest one.
+func (r *ring) rotate(now time.Time) {
+	current := bucketOf(now)
+	for n := max(r.newest+1, current-ringSize+1); n <= current; n++ {
+		*r.at(n) = sums{}
+	}
+	r.newest = max(r.newest, current)
 }
 
 // estimate is the observations of one incarnation.
 type estimate struct {
-	// long holds about 100 observations, buckets those of the last 12 s by time.
-	long    sums
-	buckets [bucketCount]sums
-	// bucket is the number of the newest bucket since the epoch.
-	bucket int64
-	lastAt time.Time
+	recent ring
+	// before holds the observations that have left the window, and all is those that count.
+	// In both the expected waits are multiplied by the ratio of the service at their time,
+	// so that what slows all upstreams alike cancels out.
+	before, all sums
+	lastAt      time.Time
+	// fresh is the number of observations since the last change was found. Those by which it
+	// was found deviate more than others.
+	fresh float64
 	// differs is set while there is a difference from the median, and heldAt is when there
 	// last was.
 	differs bool
@@ -113,88 +163,128 @@
 	stepAt time.Time
 }
 
-// rotate clears the buckets that are older than the window.
-func (e *estimate) rotate(now time.Time) {
-	current := now.UnixNano() / int64(bucketTime)
-	if current <= e.bucket {
-		return
-	}
-	for i := max(e.bucket+1, current-bucketCount+1); i <= current; i++ {
-		e.buckets[i%bucketCount] = sums{}
-	}
-	e.bucket = current
-}
-
 func (e *estimate) add(now time.Time, s sums) {
-	e.rotate(now)
-	i := e.bucket % bucketCount
-	e.buckets[i] = e.buckets[i].plus(s)
-	e.long = e.long.times(math.Exp2(-s.n / halfLifeSamples)).plus(s)
+	e.recent.rotate(now)
+	b := e.recent.at(e.recent.newest)
+	*b = b.plus(s)
+	e.fresh += s.n
 	e.lastAt = now
 }
 
-// windows are the numbers of buckets, of the last 3, 6 and 12 s, in which changes are
-// noticed.
-var windows = [...]int{6, 12, bucketCount}
-
-// recent returns the observations in each of the windows.
-func (e *estimate) recent(now time.Time) [len(windows)]sums {
-	e.rotate(now)
-	var result [len(windows)]sums
-	var s sums
-	done := 0
-	for w, count := range windows {
-		for ; done < count; done++ {
-			s = s.plus(e.buckets[(e.bucket-int64(done)+bucketCount)%bucketCount])
+// means are the ratios of a service by bucket.
+type means struct {
+	total ring
+	// before holds the observations of all upstreams that have left the window. usual is
+	// the ratio of all that count, and now that of the last 3 s.
+	before     sums
+	usual, now float64
+	ratios     [ringSize]float64
+}
+
+// update computes the ratios from the observations of all upstreams.
+func (m *means) update(now time.Time, list []*entry) {
+	last := bucketOf(now)
+	oldest := last - bucketCount + 1
+	m.total.rotate(now)
+	for n := last - ringSize + 1; n <= last; n++ {
+		*m.total.at(n) = sums{}
+	}
+	for _, e := range list {
+		e.estimate.recent.rotate(now)
+		for n := last - ringSize + 1; n <= last; n++ {
+			b := m.total.at(n)
+			*b = b.plus(*e.estimate.recent.at(n))
+		}
+	}
+	all, recent := m.before, sums{}
+	for n := last - ringSize + 1; n <= last; n++ {
+		all = all.plus(*m.total.at(n))
+		if n > last-recentBuckets {
+			recent = recent.plus(*m.total.at(n))
 		}
-		result[w] = s
+		if n < oldest {
+			// refresh of each upstream moves these out of the window.
+			m.before = m.before.times(math.Exp2(-m.total.at(n).n / halfLifeSamples / float64(len(list)))).plus(*m.total.at(n))
+		}
+	}
+	m.usual = all.ratio()
+	m.now = recent.drawn(usualSamples, m.usual)
+	for n := last - ringSize + 1; n <= last; n++ {
+		m.ratios[(n%ringSize+ringSize)%ringSize] = m.total.at(n).drawn(usualSamples, m.usual)
 	}
-	return result
 }
 
-// followChange forgets all but a window if that differs from what was before. The means are
-// those of the service, by which a change of all its upstreams cancels out.
-func (e *estimate) followChange(recent, recentMean [len(windows)]sums, longMean sums) {
-	for w, s := range recent {
-		if s.n < minSamples/2 {
-			continue
+// at returns the ratio in the bucket with a number.
+func (m *means) at(number int64) float64 { return m.ratios[(number%ringSize+ringSize)%ringSize] }
+
+// refresh updates the observations that count. If a change is found, those from before it
+// do not. deviation is that of the last 3 s from what was before in units of the spread, for
+// measuring that.
+func (e *estimate) refresh(now time.Time, m *means, spread float64) (deviation float64, measured bool) {
+	last := bucketOf(now)
+	for n := last - ringSize + 1; n <= last-bucketCount; n++ {
+		if b := e.recent.at(n); b.n > 0 {
+			e.before = e.before.decayed(b.n).plus(b.relativeTo(m.at(n)))
+			*b = sums{}
 		}
-		// The first of the window's observations count less in long than the last.
-		before := e.long.plus(s.times(-math.Exp2(-s.n / 2 / halfLifeSamples)))
-		if before.n < minSamples || before.expected <= 0 || before.observed <= 0 {
+	}
+	var window [bucketCount + 1]sums // the last i buckets
+	for i := range int64(bucketCount) {
+		b := *e.recent.at(last - i)
+		window[i+1] = window[i].plus(b.relativeTo(m.at(last - i)))
+	}
+	whole := window[bucketCount]
+	e.all = e.before.decayed(whole.n).plus(whole)
+	most, change := 0.0, 0
+	for i, w := range window {
+		rest := e.all.minus(w)
+		if w.n < minChangeSamples || rest.n < minChangeSamples {
 			continue
 		}
-		d := math.Abs(math.Log(s.ratio() / recentMean[w].ratio() / before.ratio() * longMean.ratio()))
-		if d >= math.Log(changeRatio) && d >= changeDeviations*sampleSpread*math.Sqrt(1/s.n+1/before.n) {
-			e.long = s
-			return
+		d := math.Abs(math.Log(w.ratio() / rest.ratio()))
+		z := d / math.Sqrt(1/w.n+1/rest.n)
+		if i == recentBuckets {
+			deviation, measured = z, true
+		}
+		if d >= math.Log(changeRatio) && z > most {
+			most, change = z, i
+		}
+	}
+	if most >= changeDeviations*spread {
+		e.before, e.all, e.fresh = sums{}, window[change], 0
+		for i := change; i < bucketCount; i++ {
+			*e.recent.at(last - int64(i)) = sums{}
 		}
 	}
+	return deviation, measured
 }
 
-// deviations returns how many standard deviations a difference of logarithms is, with n
-// observations.
-func deviations(d, n float64) float64 {
-	return math.Abs(d) / math.Sqrt(sampleSpread*sampleSpread/n+loadSpread*loadSpread)
+// relativeTo returns s with the expected waits multiplied by a ratio.
+func (s sums) relativeTo(ratio float64) sums { return sums{s.n, s.expected * ratio, s.observed} }
+
+// deviations returns how many standard deviations a difference of logarithms between
+// upstreams is, with n observations of a spread.
+func deviations(d, n, spread float64) float64 {
+	return math.Abs(d) / math.Sqrt(spread*spread/n+loadSpread*loadSpread)
 }
 
 // agedSamples returns the number of observations that count, given their age.
 func (e *estimate) agedSamples(now time.Time) float64 {
 	idle := now.Sub(e.lastAt) - ageGrace
 	if idle <= 0 {
-		return e.long.n
+		return e.all.n
 	}
-	return min(maxAgedSamples, e.long.n) * math.Exp2(-float64(idle)/float64(ageHalfLife))
+	return min(maxAgedSamples, e.all.n) * math.Exp2(-float64(idle)/float64(ageHalfLife))
 }
 
 // compare updates whether a difference from the median, given as a logarithm, is one.
-func (e *estimate) compare(now time.Time, d float64) {
+func (e *estimate) compare(now time.Time, d, spread float64) {
 	n := e.agedSamples(now)
 	least, deviationsNeeded := math.Log(minRatio), minDeviations
 	if e.differs {
 		least, deviationsNeeded = math.Log(keptRatio), keptDeviations
 	}
-	differs := math.Abs(d) >= least && deviations(d, n) >= deviationsNeeded && (e.differs || n >= minSamples)
+	differs := math.Abs(d) >= least && deviations(d, n, spread) >= deviationsNeeded && (e.differs || n >= minSamples)
 	if differs {
 		e.heldAt = now
 	}
@@ -202,9 +292,9 @@
 }
 
 // decide updates whether the difference has an effect, and the weight.
-func (e *estimate) decide(now time.Time, d float64, uneven bool) {
+func (e *estimate) decide(now time.Time, d, spread float64, uneven bool) {
 	n := e.agedSamples(now)
-	significant := e.differs && (uneven || e.significant || deviations(d, n) >= aloneDeviations)
+	significant := e.differs && (uneven || e.significant || deviations(d, min(n, e.fresh), spread) >= aloneDeviations)
 	if significant != e.significant {
 		e.significant, e.since = significant, now
 	}
@@ -212,7 +302,7 @@
 		d = 0
 	}
 	steps := d / math.Log(weightStep)
-	ready := e.step != 0 || n >= minWeightSamples && now.Sub(e.since) >= weightDelay
+	ready := (n >= minWeightSamples || n < 1) && now.Sub(e.since) >= weightDelay
 	if ready && math.Abs(steps-float64(e.step)) > weightHysteresis && now.Sub(e.stepAt) >= weightInterval {
 		e.step = min(maxWeightSteps, max(-maxWeightSteps, int(math.Round(steps))))
 		e.stepAt = now
@@ -239,7 +329,7 @@
 		list := byService[name]
 		s := b.services[name]
 		if s == nil {
-			s = &service{}
+			s = &service{spread: firstSpread}
 			b.services[name] = s
 		}
 		if s.compare(now, list) {
@@ -259,36 +349,30 @@
 // compare compares the upstreams of a service with one another and updates whether it is
 // uneven. It reports whether that has changed.
 func (s *service) compare(now time.Time, list []*entry) bool {
-	recent := make([][len(windows)]sums, len(list))
-	var recentMean [len(windows)]sums
-	var longMean sums
-	for i, e := range list {
-		recent[i] = e.estimate.recent(now)
-		for w, x := range recent[i] {
-			recentMean[w] = recentMean[w].plus(x)
+	s.means.update(now, list)
+	var certain, spreads []float64
+	for _, e := range list {
+		if deviation, measured := e.estimate.refresh(now, &s.means, s.spread); measured {
+			spreads = append(spreads, deviation)
 		}
-		longMean = longMean.plus(e.estimate.long)
-	}
-	s.ratio = 1
-	if longMean.n > 0 {
-		s.ratio = longMean.ratio()
-	}
-	var certain []float64
-	for i, e := range list {
-		e.estimate.followChange(recent[i], recentMean, longMean)
-		e.ratio = e.estimate.long.drawn(longMean, priorSamples)
-		if e.estimate.long.n >= minSamples {
+		e.ratio = e.estimate.all.drawn(priorSamples, 1)
+		if e.estimate.all.n >= minSamples {
 			certain = append(certain, e.ratio)
 		}
 	}
+	if len(spreads) >= minSpreadUpstreams {
+		// Half of the deviations of a normal distribution are below 0.6745.
+		spread := min(maxSpread, max(minSpread, median(spreads)/0.6745))
+		s.spread += spreadWeight * (spread - s.spread)
+	}
 	middle := median(certain)
 	for _, e := range list {
 		e.difference = 0
 		// Without a second upstream there is nothing to compare with.
-		if len(certain) >= unevenMin && e.estimate.long.n > 0 {
+		if len(certain) >= unevenMin && e.estimate.all.n > 0 {
 			e.difference = math.Log(middle / e.ratio)
 		}
-		e.estimate.compare(now, e.difference)
+		e.estimate.compare(now, e.difference, s.spread)
 	}
 	return s.refreshUneven(now, list)
 }
@@ -297,9 +381,9 @@
 func (s *service) decide(now time.Time, list []*entry) []Change {
 	var changes []Change
 	for _, e := range list {
-		e.estimate.decide(now, e.difference, s.uneven)
+		e.estimate.decide(now, e.difference, max(firstSpread, s.spread), s.uneven)
 		old := e.figure
-		e.figure = e.newFigure(now)
+		e.figure = e.newFigure(now, s.means.now)
 		if old.Slow != e.figure.Slow || old.Fast != e.figure.Fast || old.Weight != e.figure.Weight {
 			changes = append(changes, Change{Figure: e.figure})
 		}
@@ -307,11 +391,11 @@
 	return changes
 }
 
-// newFigure returns the figure for the last comparison.
-func (e *entry) newFigure(now time.Time) Figure {
+// newFigure returns the figure for the last comparison. ratio is that of the service now.
+func (e *entry) newFigure(now time.Time, ratio float64) Figure {
 	f := neutralFigure(e.upstream)
 	n := e.estimate.agedSamples(now)
-	f.Factor, f.Measured, f.Samples, f.Confidence = 1/e.ratio, math.Exp(e.difference), n, n/(n+priorSamples)
+	f.Factor, f.Measured, f.Samples, f.Confidence = 1/(e.ratio*ratio), math.Exp(e.difference), n, n/(n+priorSamples)
 	if !e.estimate.lastAt.IsZero() {
 		f.AgeMS = now.Sub(e.estimate.lastAt).Milliseconds()
 	}
--- a/internal/capacity/levels.go
+++ b/internal/capacity/levels.go
@@ -19,6 +19,10 @@
 	// nothing, and minLevelSum that of those beyond a learnt number that keep it.
 	minLevelSamples = 10
 	minLevelSum     = 1
+	// levelSpread is the assumed standard deviation of the logarithm of one time, and
+	// levelDeviations the number of standard deviations that make a difference.
+	levelSpread     = 1
+	levelDeviations = 3
 	// maxLevelRatio is the ratio of times up to which they count as constant.
 	maxLevelRatio = 1.5
 	// minConcurrentRatio is the least ratio between the learnt numbers of two upstreams
@@ -71,7 +75,7 @@
 	for i, x := range l.list {
 		if base.n >= minLevelSamples && x.n >= minLevelSamples {
 			ratio := x.ms / x.n / (base.ms / base.n)
-			if ratio >= maxLevelRatio && deviations(math.Log(ratio), min(x.n, base.n)) >= minDeviations {
+			if ratio >= maxLevelRatio && math.Log(ratio)*math.Sqrt(min(x.n, base.n)) >= levelDeviations*levelSpread {
 				learnt = i
 				break
 			}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -99,6 +99,44 @@
 	}
 }
 
+// Load: engines of three speeds behind a large fleet. The learnt speeds must give at least
+// 0.95 of the share in target of an oracle that knows them, and no less than before.
+func TestUnevenEngines(t *testing.T) {
+	results := make(map[string]experiment.Result)
+	for _, policy := range []string{"ours", "previous", "oracle", "random"} {
+		results[policy] = run(t, experiment.Options{Deployment: "map-viewer", Pattern: "uneven-engines", Policy: policy, Duration: 12 * time.Second})
+	}
+	ours := results["ours"].InTargetShare()
+	for policy, least := range map[string]float64{"oracle": 0.95, "previous": 1, "random": 1.05} {
+		if other := results[policy].InTargetShare(); ours < least*other {
+			t.Errorf("%.3f in target, %s has %.3f", ours, policy, other)
+		}
+	}
+}
+
+// Guards against figures that take effect where engines are about equally fast: then every
+// request must be served as without them.
+func TestEvenEnginesAreServedAsBefore(t *testing.T) {
+	for name, opts := range map[string]experiment.Options{
+		"small fleet":          {Deployment: "association", Pattern: "steady", Duration: 9 * time.Second},
+		"small fleet, rollout": {Deployment: "plegado", Pattern: "rollouts-in-a-row", Duration: 9 * time.Second},
+		"small fleet, hot":     {Deployment: "association", Pattern: "hot-prompt", Duration: 27 * time.Second},
+		"large fleet":          {Deployment: "map-viewer", Pattern: "steady", Duration: 7 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			opts.Policy = "previous"
+			before := run(t, opts)
+			opts.Policy = "ours"
+			after := run(t, opts)
+			after.Policy = before.Policy
+			if diff := cmp.Diff(before, after, cmpopts.IgnoreUnexported(experiment.Result{})); diff != "" {
+				t.Errorf("result (-before +after):\n%s", diff)
+			}
+		})
+	}
+}
+
 // The same options and seed must give exactly the same result.
 func TestSameSeedSameResult(t *testing.T) {
 	opts := experiment.Options{Deployment: "plegado", Pattern: "quarter-silent", Policy: "ours", Seed: 5, Duration: 6 * time.Second}
