--- a/cmd/covectl/main.go
+++ b/cmd/covectl/main.go
@@ -14,6 +14,7 @@
 //	covectl ... drain
 //	covectl -entry 127.0.0.1:8001 entry
 //	covectl -entry 127.0.0.1:8001 -key-file key request 0190c1f0-...
+//	covectl -node 10.1.0.30:8783 capacity
 //	covectl explain 9c41d07be2a35f68 vm-1.log vm-2.log
 //
 // -json prints the node's response as JSON, for scripts. The exit code is 0 on
@@ -106,11 +107,12 @@
 	"entry":    {0, false, "entry", entry},
 	"request":  {1, false, "request KEY", lookUpRequest},
 	"explain":  {2, true, "explain REQUEST_ID LOG...", explain},
+	"capacity": {0, false, "capacity", showCapacity},
 }
 
 // usage returns the syntax of all commands, separated by commas.
 func usage() string {
-	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request", "explain"}
+	order := []string{"validate", "apply", "delete", "get", "diff", "history", "rollback", "status", "dump", "drain", "entry", "request", "explain", "capacity"}
 	var syntaxes []string
 	for _, name := range order {
 		syntaxes = append(syntaxes, commands[name].syntax)
--- a/internal/entryvm/export_test.go
+++ b/internal/entryvm/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
+	"github.com/hibiscuscove/hibiscuscove/internal/roster"
 )
 
 // Streams returns what the VM passes to its callers' front end.
@@ -38,3 +39,29 @@
 	}
 	return ids
 }
+
+// PutUpstream adds an upstream to the VM's list.
+func (v *VM) PutUpstream(u roster.Upstream) { v.upstreams.Put(time.Now(), u) }
+
+// Serve makes a first token arrive that took elapsed, at an upstream with the given estimate.
+func (v *VM) Serve(u roster.Upstream, prefill, elapsed time.Duration) {
+	now := time.Now()
+	f := v.upstreams.Start(now.Add(-elapsed), u, roster.Load{Requests: 1}, nil, 0)
+	f.ExpectPrefill(float64(prefill.Milliseconds()))
+	f.FirstToken(now, float64(prefill.Milliseconds()))
+	f.Finish()
+}
+
+// Wait returns the estimated wait of a prompt at an upstream, in milliseconds.
+func (v *VM) Wait(u roster.Upstream) float64 {
+	c, _ := v.upstreams.Pick(time.Now(), roster.Query{
+		Service: u.Service, Model: u.Model, UnsharedTokens: 6_000, Allow: func(o roster.Upstream) bool { return o.ID == u.ID },
+	})
+	return c.WaitMS
+}
+
+// Metric reports whether the VM has a metric.
+func (v *VM) Metric(name string) bool { return v.metrics.Get(name) != nil }
+
+// CurrentDump returns the VM's state.
+func (v *VM) CurrentDump() Dump { return v.dump(time.Now()) }
