internal/dispatch: a test of placements while the prompt store is unavailable

Cause: docs/LOAD.md names the failure, and no test covered it.

Change: with the store gone prompts are placed, and nothing is fetched from it or saved there.

Result: passes with -race.

--- a/internal/dispatch/board_test.go
+++ b/internal/dispatch/board_test.go
@@ -409,3 +409,28 @@
 		t.Errorf("a report of progress takes %d bytes", n)
 	}
 }
+
+// The store is unavailable: prompts are placed as before, but nothing is fetched from it or
+// saved there.
+func TestStoreIsUnavailable(t *testing.T) {
+	up := true
+	b := dispatch.NewBoard(dispatch.BoardOptions{StoredTokens: func(_ time.Time, _ promptcache.Generation, parts []promptcache.Part) (int, bool) {
+		if !up || len(parts) == 0 {
+			return 0, up
+		}
+		return parts[0].Tokens, true
+	}})
+	b.Sync(start, []dispatch.Service{engines(16, 92_000)})
+	with := b.Place(start, "vm", long(1, "p"))
+	b.Progress(start, "vm", dispatch.Progress{ID: 1, Ended: true})
+	up = false
+	without := b.Place(start, "vm", long(2, "q"))
+	type use struct {
+		Kind            dispatch.Kind
+		FromStore, Save bool
+	}
+	want := []use{{dispatch.Placement, true, true}, {dispatch.Placement, false, false}}
+	if diff := cmp.Diff(want, []use{{with.Kind, with.FromStore, with.Save}, {without.Kind, without.FromStore, without.Save}}); diff != "" {
+		t.Errorf("use of the store while it is up and while it is not (-want +got):\n%s", diff)
+	}
+}
