internal/roster, internal/capacity: engines are compared by the pace of their events

Cause: first tokens say little of an engine's speed. Change: a stream that ends whole gives the median of six gaps between events, the fastest of its groups, so that the prefill of other prompts does not count as slowness.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -6,7 +6,7 @@
 //
 //	book := capacity.NewBook()
 //	book.Retain(now, upstreams)
-//	book.Observe(now, "i-1@7", expected, observed) // of a first token
+//	book.Observe(now, "i-1@7", expected, observed) // of some events of a stream
 //	book.ObservePlain(now, "i-9@7", inFlight, elapsed)
 //	message.Capacity = book.Reports(now)
 //	book.Learn(now, peer, process, message.Capacity)
@@ -44,7 +44,7 @@
 	Incarnation string `json:"incarnation"`
 	Service     string `json:"service"`
 	// Factor is the speed against the configured figures: 1 is as configured, 2 is twice
-	// as fast. It includes waits behind requests that the estimates did not count. A plain
+	// as fast. It includes what slows all upstreams of the service alike. A plain
 	// upstream has no configured figures, and its Factor is that against one request in
 	// 100 ms.
 	Factor float64 `json:"factor"`
@@ -192,9 +192,8 @@
 	minRatioDivisor = 16
 )
 
-// Observe records a sound first token of this VM's. expected is the estimated time to
-// prefill all that waited and the prompt at the configured speed; observed is the time to
-// the first token without the fixed delay.
+// Observe records some events of a sound stream of this VM's: the time that they took, and
+// that which they would take at a Factor of 1.
 func (b *Book) Observe(now time.Time, incarnation string, expected, observed time.Duration) {
 	if expected < minExpectedMS*time.Millisecond {
 		return
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -36,7 +36,7 @@
 	engines int
 	// speed returns the speed of an engine at a time after the start.
 	speed func(engine int, at time.Duration) float64
-	// perS is the number of first tokens of each engine that the fleet sees in a second.
+	// perS is the number of observations of each engine that the fleet sees in a second.
 	// Observations spread by a factor of e^spread.
 	perS, spread float64
 	length       time.Duration
@@ -49,7 +49,7 @@
 	return expected, time.Duration(float64(expected) / l.speed(engine, at) * noise)
 }
 
-// play lets one book see all first tokens, and calls look after each tick.
+// play lets one book see all observations, and calls look after each tick.
 func (l load) play(b *capacity.Book, look func(at time.Duration)) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	b.Retain(start, upstreams(l.engines))
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -29,7 +29,7 @@
 	Plain   []PlainReport  `json:"plain,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
-// EngineReport holds the sums of the first tokens of one incarnation, which is named by a
+// EngineReport holds the sums of the events of one incarnation, which is named by a
 // hash.
 type EngineReport struct {
 	_ struct{} `cbor:",toarray"`
@@ -48,7 +48,7 @@
 	Levels []LevelSums
 }
 
-// waitSums are a number of first tokens, and their summed expected and observed waits in
+// waitSums are a number of observations, and their summed expected and observed times in
 // milliseconds.
 type waitSums [3]uint64
 
--- a/internal/costmodel/rendezvous.go
+++ b/internal/costmodel/rendezvous.go
@@ -195,7 +195,7 @@
 		choice.CostMS += m.Policy.FetchMS
 	}
 	choice.MissingTokens = int(toCompute) + p.UnsharedTokens
-	m.setWait(&choice, c, float64(c.Load.WaitingTokens)+toCompute+float64(p.UnsharedTokens))
+	choice.WaitMS = m.waitMS(c, float64(c.Load.WaitingTokens)+toCompute+float64(p.UnsharedTokens))
 	// Under overload, recomputing delays all requests, so shared tokens weigh
 	// more and prompts stay on their home.
 	weighted := m.Policy.SharedWeight * m.Slowdown.Factor() * missing
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -105,6 +105,8 @@
 	// OnFirstToken and OnFinish are called after the first and the last output token,
 	// OnBroken when the request ends early. They must not be nil.
 	OnFirstToken, OnFinish, OnBroken func()
+	// OnToken is called after each step that gives an output token. It may be nil.
+	OnToken func()
 
 	// prefillLeft is the number of tokens still to compute before the first token.
 	prefillLeft int
@@ -308,9 +310,11 @@
 		e.finishPrefill(r)
 		e.loop.After(milliseconds(e.opts.FirstTokenMS), r.OnFirstToken)
 		r.decoded = 1
+		r.notifyToken()
 		return
 	}
 	r.decoded++
+	r.notifyToken()
 	if r.decoded <= r.OutputTokens {
 		return
 	}
@@ -321,6 +325,12 @@
 	e.loop.After(milliseconds(e.opts.FirstTokenMS), r.OnFinish)
 }
 
+func (r *Request) notifyToken() {
+	if r.OnToken != nil && r.decoded <= r.OutputTokens {
+		r.OnToken()
+	}
+}
+
 // finishPrefill caches the shared parts, keeps them from eviction while the request
 // runs, and saves the prompt to the store.
 func (e *Engine) finishPrefill(r *Request) {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -39,6 +39,7 @@
 			return false, errors.New("the stream ended without an event, and another one goes on")
 		}
 		j.dropOthers(l)
+		l.InFlight.CompleteStream(j.h.opts.Now())
 		j.h.selector.ObserveOutcome(j.h.opts.Now(), l.Upstream, j.Fingerprint, health.Sound)
 		return true, nil
 	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && l.Response.Delimited:
@@ -261,6 +262,7 @@
 	}
 	l.Forwarded = true
 	l.InFlight.FirstToken(l.AliveAt, l.Choice.WaitMS)
+	l.InFlight.Event(l.AliveAt)
 	l.Lease.FirstToken(l.AliveAt)
 	_, err := j.w.Write(event.Raw)
 	if err == nil {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -443,7 +443,6 @@
 		Tokens:        j.Head.PromptTokens + j.Head.OutputTokens,
 	}, query.Parts, query.UnsharedTokens+query.OutputTokens)
 	lease := j.h.opts.Dispatch.Sent(now, choice.Lease, u, choice.MissingTokens, j.dispatchRequest(query))
-	inFlight.ExpectPrefill(choice.PrefillMS)
 	l := leg.New(leg.Options{
 		Upstream: u, Choice: choice, InFlight: inFlight, Lease: lease, SentAt: now, Beside: beside, Cancel: cancel,
 		Observe: j.h.observeAvailability, Now: j.h.opts.Now, Codec: j.h.opts.Codec, Bodies: j.h.opts.Bodies,
--- a/internal/roster/capacity.go
+++ b/internal/roster/capacity.go
@@ -1,6 +1,9 @@
 package roster
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Capacity is what is learnt of an incarnation, see the fields of costmodel.Candidate. The
 // zero value has no effect.
@@ -11,9 +14,8 @@
 
 // Observer gets sound responses, with which upstreams are compared.
 type Observer interface {
-	// Observe is called with a first token: the estimated prefill time of all that waited
-	// and of the prompt at the configured speed, and the time to the first token without
-	// that of an idle engine.
+	// Observe is called with the time that some consecutive events of a stream took, and with
+	// that at an engine with a factor of 1.
 	Observe(now time.Time, incarnation string, expected, observed time.Duration)
 	// ObservePlain is called with a response of a plain upstream: the number of requests
 	// there when the request was sent, and the time since.
@@ -30,20 +32,68 @@
 	}
 }
 
-// ExpectPrefill sets the estimated prefill time at the configured speed, the PrefillMS of
-// the Choice. Without it the first token says nothing about the upstream's speed. It must be
-// called before FirstToken.
-func (f *InFlight) ExpectPrefill(ms float64) { f.prefillMS = ms }
+const (
+	// nominalGap is the gap between two events of an engine with a factor of 1.
+	nominalGap = 20 * time.Millisecond
+	// paceGaps is the number of gaps that make up a group. The prefill of other prompts
+	// between events takes several times as long as a decoding step and is load, not speed.
+	// So a group counts by its median, and a stream by its fastest group of minPaces or more.
+	paceGaps = 6
+	minPaces = 3
+	// maxPaces limits the groups of one stream, each of which is an observation.
+	maxPaces = 8
+	// minGap is the shortest gap that tells anything: shorter ones are those of events that
+	// arrived together.
+	minGap = 2 * time.Millisecond
+)
 
-// observeFirstToken passes the time of the first token to the observer.
-func (f *InFlight) observeFirstToken(now time.Time) {
-	opts := f.table.opts
-	if opts.Observer == nil || f.prefillMS <= 0 {
+// pace is what the events of one stream say about the speed of its engine.
+type pace struct {
+	eventAt time.Time
+	gaps    [paceGaps]time.Duration
+	// n is the number of gaps of the present group, and groups that of the groups before.
+	n, groups int
+	// fastest is the lowest median of a group, 0 if there is none yet.
+	fastest time.Duration
+}
+
+// add records an event.
+func (p *pace) add(now time.Time) {
+	last := p.eventAt
+	p.eventAt = now
+	if last.IsZero() || p.groups >= maxPaces {
+		return
+	}
+	p.gaps[p.n] = now.Sub(last)
+	if p.n++; p.n < paceGaps {
 		return
 	}
-	idle := time.Duration(opts.Policy.IdleFirstTokenMS * float64(time.Millisecond))
-	expected := time.Duration(f.prefillMS * float64(time.Millisecond))
-	opts.Observer.Observe(now, f.incarnation, expected, now.Sub(f.startedAt)-idle)
+	p.n = 0
+	slices.Sort(p.gaps[:])
+	median := (p.gaps[paceGaps/2-1] + p.gaps[paceGaps/2]) / 2
+	if median < minGap {
+		return
+	}
+	p.groups++
+	if p.fastest == 0 || median < p.fastest {
+		p.fastest = median
+	}
+}
+
+// Event records that an event of the stream has come. It must not be called concurrently.
+func (f *InFlight) Event(now time.Time) { f.pace.add(now) }
+
+// CompleteStream records the end of a complete and sound stream. Others must not be
+// recorded: an engine that fails may send its events fast.
+func (f *InFlight) CompleteStream(now time.Time) {
+	observer := f.table.opts.Observer
+	if observer == nil || f.pace.groups < minPaces {
+		return
+	}
+	for range f.pace.groups {
+		observer.Observe(now, f.incarnation, paceGaps*nominalGap, paceGaps*f.pace.fastest)
+	}
+	f.pace.groups = 0
 }
 
 // Complete records the complete and sound response of a plain upstream. Failures must not
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -30,10 +30,10 @@
 	finishOnce     sync.Once
 	startedAt      time.Time
 	// incarnation is the upstream's, and inFlight the number of requests there at the
-	// start, this one included. prefillMS is set by ExpectPrefill.
+	// start, this one included.
 	incarnation string
 	inFlight    int
-	prefillMS   float64
+	pace        pace
 }
 
 // Start counts a request on an upstream and records its shared parts as cached
@@ -61,7 +61,6 @@
 func (f *InFlight) FirstToken(now time.Time, waitMS float64) {
 	f.firstTokenOnce.Do(func() {
 		f.addLoad(Load{WaitingTokens: -f.load.WaitingTokens})
-		f.observeFirstToken(now)
 		f.table.mu.Lock()
 		defer f.table.mu.Unlock()
 		f.table.slowdown = f.table.slowdown.With(now.Sub(f.startedAt), f.table.opts.Policy.IdleFirstTokenMS, waitMS)
--- a/internal/roster/pick.go
+++ b/internal/roster/pick.go
@@ -43,9 +43,8 @@
 	// CostMS is the cost by which the upstream was picked, in milliseconds.
 	CostMS float64
 	// WaitMS is the estimated prefill time of the waiting prompts and this one, at the
-	// learnt speed of the upstream. PrefillMS is that at the configured speed, for
-	// InFlight.ExpectPrefill.
-	WaitMS, PrefillMS float64
+	// learnt speed of the upstream.
+	WaitMS float64
 	// FirstTokenMS is the estimated time to the first token: WaitMS, scaled by
 	// the recent slowdown of first tokens, plus the time on an idle engine. Of
 	// a long prompt only a limited number of missing tokens counts, so that it is admitted or
@@ -103,7 +102,7 @@
 		return Choice{}, false
 	}
 	choice := Choice{
-		Upstream: t.members[best.ID].upstream, CostMS: best.CostMS, WaitMS: best.WaitMS, PrefillMS: best.PrefillMS, FirstTokenMS: best.FirstTokenMS,
+		Upstream: t.members[best.ID].upstream, CostMS: best.CostMS, WaitMS: best.WaitMS, FirstTokenMS: best.FirstTokenMS,
 		MissingTokens: best.MissingTokens, FreeSlots: best.FreeSlots, Candidates: allowed, Home: best.Home, Healthy: best.Healthy,
 	}
 	if best.Save {
