--- a/internal/roster/capacity.go
+++ b/internal/roster/capacity.go
@@ -9,6 +9,11 @@
 	Concurrent    int
 }
 
+// settleTime is how long after a change of its weights the first tokens of an engine say
+// nothing about its speed: it recomputes prompts that the estimates take as cached, and
+// requests have waited for it.
+const settleTime = 4 * time.Second
+
 // Observer gets sound responses, with which upstreams are compared.
 type Observer interface {
 	// Observe is called with a first token: the estimated prefill time of all that waited
@@ -38,7 +43,7 @@
 // observeFirstToken passes the time of the first token to the observer.
 func (f *InFlight) observeFirstToken(now time.Time) {
 	opts := f.table.opts
-	if opts.Observer == nil || f.prefillMS <= 0 {
+	if opts.Observer == nil || f.prefillMS <= 0 || f.unsettled {
 		return
 	}
 	idle := time.Duration(opts.Policy.IdleFirstTokenMS * float64(time.Millisecond))
--- a/internal/roster/capacity_test.go
+++ b/internal/roster/capacity_test.go
@@ -28,7 +28,8 @@
 }
 
 // Guards against observations of requests that say nothing about an upstream's speed: those
-// that failed, fast or not, and second ones of the same request; and against figures that
+// that failed, fast or not, those of an engine whose cache is empty after new weights (in covesim,
+// rollouts in a row then lost 0.03 of their worth), and second ones of the same request; and against figures that
 // count twice, in the speed and in the wait from which it is learnt.
 func TestObservations(t *testing.T) {
 	const ms = time.Millisecond
@@ -52,6 +53,14 @@
 			f.Finish()
 			f.FirstToken(start.Add(ms), 100)
 		}, nil},
+		"after new weights": {func(tb *roster.Table) {
+			tb.ObserveVersion(start, u.ID, u.Born, 2)
+			for _, after := range []time.Duration{time.Second, 5 * time.Second} {
+				f := tb.Start(start.Add(after), u, roster.Load{Requests: 1}, nil, 0)
+				f.ExpectPrefill(100)
+				f.FirstToken(start.Add(after+280*ms), 100)
+			}
+		}, []observed{{Incarnation: u.Incarnation(), Expected: 100 * ms, Elapsed: 200 * ms}}},
 		"no expectation": {func(tb *roster.Table) {
 			tb.Start(start, u, roster.Load{Requests: 1}, nil, 0).FirstToken(start.Add(ms), 100)
 		}, nil},
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -34,6 +34,8 @@
 	incarnation string
 	inFlight    int
 	prefillMS   float64
+	// unsettled is set if the engine had changed its weights shortly before.
+	unsettled bool
 }
 
 // Start counts a request on an upstream and records its shared parts as cached
@@ -46,6 +48,7 @@
 	if m := t.members[u.ID]; m != nil {
 		m.ownLoad = m.ownLoad.Plus(load)
 		f.inFlight = t.memberLoad(m).Requests
+		f.unsettled = m.loading.Active(now) || within(now, m.weightsChangedAt, settleTime)
 		if !t.partialView {
 			m.cached.RecordUse(now, shared, unshared, t.cacheTokens[u.Service])
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -84,6 +84,8 @@
 	updatedAt time.Time
 	// firstSeen is when this incarnation or its present weights were first seen.
 	firstSeen time.Time
+	// weightsChangedAt is when this incarnation last got new weights, or zero.
+	weightsChangedAt time.Time
 	// capacity is what is learnt of this incarnation.
 	capacity Capacity
 }
--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -147,7 +147,7 @@
 
 // recordNewWeights records that the engine has finished loading new weights.
 func (m *member) recordNewWeights(now time.Time) {
-	m.loading, m.firstSeen = weights.Loading{}, now
+	m.loading, m.firstSeen, m.weightsChangedAt = weights.Loading{}, now, now
 }
 
 // within reports whether at is set and less than d before now.
