--- a/internal/permit/quotafleet_test.go
+++ b/internal/permit/quotafleet_test.go
@@ -686,3 +686,27 @@
 		}
 	})
 }
+
+// BenchmarkQuotaCall measures what an issuer does for a call: decoding, deciding, encoding.
+func BenchmarkQuotaCall(b *testing.B) {
+	for _, n := range []int{74, 910} {
+		b.Run(fmt.Sprintf("%d VMs", n), func(b *testing.B) {
+			f := newQuotaFleet(n, large)
+			f.run(3*time.Second, nil)
+			issuer := f.vms[f.vms[f.order[0]].Status(f.now).Issuers[permit.QuotaShardOf(customer)]]
+			for i := 0; b.Loop(); i++ {
+				q := permit.QuotaRequest{Shard: permit.QuotaShardOf(customer), FleetSize: n, TTLMS: 1200, Ask: &permit.QuotaAsk{
+					ID: uint64(i + 1), Organisation: customer, Units: 1, Revision: 1, Rate: large.Rate, Burst: large.Burst, Tokens: true, PlainTokens: 200,
+				}}
+				raw, _ := q.Encode()
+				q, err := permit.DecodeQuota[permit.QuotaRequest](raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := issuer.Handle(f.now, f.order[i%n], q).Encode(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
