internal/dispatch, internal/costmodel: learnt speeds, and what copies of prompts cost

Cause: a board that knows which engines have a prompt cached sent it to others too readily. Change: for a board a fetched part costs as much as one that is recomputed, since it evicts another one. Candidates carry the learnt speed, which the board uses for all waits, and dispatchers also place requests of a service whose upstreams were found to differ in speed.

--- a/internal/costmodel/costmodel.go
+++ b/internal/costmodel/costmodel.go
@@ -157,6 +157,9 @@
 	// PartialView reports that the fleet is too large for this VM to know where the
 	// others send prompts, so that prompts are placed by rendezvous hashing.
 	PartialView bool
+	// CopiesEvict reports that the engines' memory has no room for copies of most prompts,
+	// so that a fetched part costs as much as a recomputed one: it evicts another one.
+	CopiesEvict bool
 	// TieKey orders plain upstreams of equal cost. It differs between choices and VMs.
 	TieKey uint64
 	// StoredTokens returns how many leading tokens of the parts the prompt store has
@@ -264,6 +267,7 @@
 func (m Model) engineCost(choice *Choice, c *Candidate, p Prompt, home bool, from source) float64 {
 	shared := p.sharedTokens()
 	missing := float64(shared - c.Cached.CachedTokens(p.Parts))
+	copied := missing
 	fetchMS := 0.0
 	switch {
 	case from.candidate != c && from.tokens > shared-int(missing):
@@ -273,6 +277,9 @@
 	case home && missing == float64(shared):
 		missing *= homeMissShare
 	}
+	if !m.CopiesEvict || home {
+		copied = missing
+	}
 	choice.Save = m.StoredTokens != nil && missing > 0
 	choice.MissingTokens = int(missing) + p.UnsharedTokens
 	choice.WaitMS = m.waitMS(c, float64(c.Load.WaitingTokens)+missing+float64(p.UnsharedTokens))
@@ -287,7 +294,7 @@
 		}
 		return fullPenaltyMS
 	}
-	cost := fetchMS + (float64(c.Load.WaitingTokens)+m.Policy.SharedWeight*missing+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS/c.speed()
+	cost := fetchMS + (float64(c.Load.WaitingTokens)+m.Policy.SharedWeight*copied+float64(p.UnsharedTokens))/m.Policy.PrefillTokensPerMS/c.speed()
 	return cost + m.contentionCost(choice, c, p, shared)
 }
 
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -44,9 +44,6 @@
 	// StoredTokens returns how many leading tokens of the parts the prompt store has, and
 	// false if it can't be used. Nil means that there is none.
 	StoredTokens func(now time.Time, g promptcache.Generation, parts []promptcache.Part) (tokens int, up bool)
-	// Speed returns the speed of an incarnation relative to the configured one, 0 if it is
-	// not known. Nil means that all have the configured one.
-	Speed func(incarnation string) float64
 }
 
 // Service is a service with the upstreams that may get its requests.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -179,7 +179,7 @@
 			d.memory = reservedMemory * float64(s.CacheTokens)
 		}
 	}
-	d.model = costmodel.Model{Policy: b.opts.Policy, Slowdown: g.slowdown[d.level], TieKey: b.decisions * 0x9e3779b97f4a7c15, StoredTokens: b.storedTokens(now, q.Parts)}
+	d.model = costmodel.Model{Policy: b.opts.Policy, CopiesEvict: true, Slowdown: g.slowdown[d.level], TieKey: b.decisions * 0x9e3779b97f4a7c15, StoredTokens: b.storedTokens(now, q.Parts)}
 	for _, m := range g.members {
 		if slices.Contains(q.Exclude, m.upstream.ID) {
 			continue
@@ -202,11 +202,6 @@
 	c.Load = peerload.Load{Requests: m.total(), WaitingTokens: upTo(m.waiting, level) + int(g.overtakenPart(level)*float64(overtaken(m, level))), Tokens: m.tokens}
 	c.OwnRequests = m.total()
 	c.Pickable = c.Pickable && !m.rejectedUntil.After(now)
-	if b.opts.Speed != nil {
-		if speed := b.opts.Speed(m.upstream.Incarnation()); speed > 0 {
-			c.Load.WaitingTokens = int(float64(c.Load.WaitingTokens) / speed)
-		}
-	}
 	return c
 }
 
@@ -293,6 +288,9 @@
 // or more urgent, with this one, and for that of the others.
 func (d *survey) waits(m *member, c costmodel.Choice) (aheadMS, overtakenMS float64) {
 	tokensPerMS := d.model.Policy.PrefillTokensPerMS
+	if m.state.Speed > 0 {
+		tokensPerMS *= m.state.Speed
+	}
 	overtakenMS = float64(overtaken(m, d.level)) / tokensPerMS
 	return c.WaitMS - float64(int(d.group.overtakenPart(d.level)*float64(overtaken(m, d.level))))/tokensPerMS, overtakenMS
 }
--- a/internal/entryvm/dispatch.go
+++ b/internal/entryvm/dispatch.go
@@ -24,14 +24,10 @@
 type dispatching struct {
 	agent *dispatch.Agent
 	board *dispatch.Board
-	// uneven reports whether the upstreams of a service were found to differ in speed, and
-	// speed is that of an incarnation relative to the configured one. Both may be nil.
-	uneven func(service string) bool
-	speed  func(incarnation string) float64
 }
 
 func (v *VM) buildDispatch(policy costmodel.Policy) {
-	v.dispatch.board = dispatch.NewBoard(dispatch.BoardOptions{Policy: policy, StoredTokens: v.upstreams.StoredTokens, Speed: v.dispatch.speed})
+	v.dispatch.board = dispatch.NewBoard(dispatch.BoardOptions{Policy: policy, StoredTokens: v.upstreams.StoredTokens})
 	v.dispatch.agent = dispatch.NewAgent(dispatch.AgentOptions{
 		Name: v.settings.Name, Process: v.incarnation, Now: v.opts.Now, Board: v.dispatch.board,
 		Call: v.beacon.Call, Notify: v.beacon.Notify, On: v.dispatchesService, Metrics: v.metrics, Log: v.log,
@@ -40,7 +36,7 @@
 
 // dispatchesService reports whether the requests of a service are placed by dispatchers.
 func (v *VM) dispatchesService(service string) bool {
-	wanted := slices.Contains(v.settings.Terms, termPressure) || v.dispatch.uneven != nil && v.dispatch.uneven(service)
+	wanted := slices.Contains(v.settings.Terms, termPressure) || v.capacity.Uneven(service)
 	return wanted && v.upstreams.PartialView()
 }
 
