internal/quota: grant what the deployment tolerates beyond a quota

Cause: the users allow a tenth of 8 s x rate + burst and 110,000 units beyond a quota, and count requests within that as owed. Change: settings quota_over and quota_slack, from the deployment's bounds; an issuer grants 0.4 of the part on the rate, 0.8 on the burst, and 0.55 of the units as overdraft. The rest stays for VMs that decide by themselves. Without the settings nothing changes.

--- a/internal/entryvm/quotas.go
+++ b/internal/entryvm/quotas.go
@@ -31,6 +31,7 @@
 	var limits *quota.Limits
 	v.quotas = permit.NewQuotas(permit.QuotaOptions{
 		Name: v.settings.Name, Process: v.incarnation, Now: v.opts.Now, FleetSize: v.fleetSize, Candidates: v.quotaCandidates,
+		Tolerance: quota.Tolerance{Over: v.settings.QuotaOver, Units: uint64(v.settings.QuotaSlack)},
 		// Only the goroutine of Quotas.Run calls it.
 		Limits: func() *quota.Limits {
 			if c := v.configuration.Current(); c != nil && c != from {
--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -63,7 +63,11 @@
 	RetryRatio    float64 `json:"retry_ratio"`
 	RetrySlack    float64 `json:"retry_slack"`
 	RetryWindowMS int     `json:"retry_window_ms"`
-	LogLinesPerS  int     `json:"log_lines_per_s"`
+	// QuotaOver and QuotaSlack are what organisations may get beyond their quotas in 8 s; see
+	// quota.Tolerance.
+	QuotaOver    float64 `json:"quota_over"`
+	QuotaSlack   int     `json:"quota_slack"`
+	LogLinesPerS int     `json:"log_lines_per_s"`
 	// PickRule is a costmodel.Rule. Rules other than the default exist for
 	// comparison only.
 	PickRule string `json:"pick_rule"`
@@ -142,6 +146,9 @@
 	if s.LinkMbps < 1 || s.LinkMbps > 1e6 {
 		addProblem("link_mbps", "%g is not between 1 and 1000000", s.LinkMbps)
 	}
+	if s.QuotaOver < 0 || s.QuotaOver > 1 {
+		addProblem("quota_over", "%g is not between 0 and 1", s.QuotaOver)
+	}
 	ranges := []struct {
 		field            string
 		value            int
@@ -157,6 +164,7 @@
 		{"version_ms", s.VersionMS, 100, 3_600_000},
 		{"version_total_ms", s.VersionTotalMS, 100, 3_600_000},
 		{"retry_window_ms", s.RetryWindowMS, 100, 3_600_000},
+		{"quota_slack", s.QuotaSlack, 0, 1 << 40},
 		{"log_lines_per_s", s.LogLinesPerS, 1, 1_000_000},
 		{"connect_timeout_ms", s.ConnectTimeoutMS, 1, 10_000},
 	}
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -32,6 +32,9 @@
 	}
 	section := regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`)
 	text := section.ReplaceAllString(string(raw), `"10.1.0.30:8783","10.2.0.22:8783"`)
+	for name, value := range map[string]string{"bounds.quota_over": "0.1", "bounds.quota_slack": "110000"} {
+		text = regexp.MustCompile(`\{\{#`+name+`\}\}(.*)\{\{\.\}\}(.*)\{\{/`+name+`\}\}`).ReplaceAllString(text, "${1}"+value+"${2}")
+	}
 	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		value, found := placeholderValues[strings.Trim(placeholder, "{}")]
 		if !found {
@@ -74,6 +77,7 @@
 	want.Seeds = []string{"10.1.0.30:8783", "10.2.0.22:8783"}
 	want.RetrySlack = 58
 	want.DrainMS = 2500
+	want.QuotaOver, want.QuotaSlack = 0.1, 110_000
 	want.Terms = []string{"pressure", "a word of a later build"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("settings (-want +got):\n%s", diff)
--- a/internal/permit/quotaacquire.go
+++ b/internal/permit/quotaacquire.go
@@ -52,6 +52,7 @@
 	if !w.Limit.Limited() || w.Units == 0 {
 		return QuotaGrant{Decision: quota.Decision{Granted: true}}
 	}
+	w.Limit = w.Limit.WithTolerance(q.opts.Tolerance)
 	g := QuotaGrant{organisation: w.Organisation, units: w.Units, at: now}
 	shard := quotaShardOf(w.Organisation)
 	q.mu.Lock()
--- a/internal/permit/quotaissuer.go
+++ b/internal/permit/quotaissuer.go
@@ -29,6 +29,7 @@
 type quotaIssuer struct {
 	process   int64
 	startedAt time.Time
+	tolerance quota.Tolerance
 
 	mu      sync.Mutex
 	closed  bool
@@ -70,8 +71,8 @@
 	response QuotaResponse
 }
 
-func newQuotaIssuer(now time.Time, process int64) *quotaIssuer {
-	i := &quotaIssuer{process: process, startedAt: now, buckets: make(map[string]*issuedBucket), asks: make(map[string]*askHistory)}
+func newQuotaIssuer(now time.Time, process int64, tolerance quota.Tolerance) *quotaIssuer {
+	i := &quotaIssuer{process: process, startedAt: now, tolerance: tolerance, buckets: make(map[string]*issuedBucket), asks: make(map[string]*askHistory)}
 	for n := range i.shards {
 		i.shards[n].shares = make(shares)
 	}
@@ -110,6 +111,7 @@
 // setLimit applies a limit, unless a newer one is known. An organisation that had none
 // until now gets a full bucket if published is set, otherwise an empty one.
 func (i *quotaIssuer) setLimit(now time.Time, organisation string, l quota.Limit, position registry.Position, published bool) *issuedBucket {
+	l = l.WithTolerance(i.tolerance)
 	b := i.buckets[organisation]
 	if b == nil {
 		b = &issuedBucket{quota.NewBucket(now, l), quotaShardOf(organisation), position}
--- a/internal/permit/quotas.go
+++ b/internal/permit/quotas.go
@@ -73,6 +73,8 @@
 	// Limits returns the quotas of the configuration in force, nil if there is none yet. It
 	// returns the same pointer as long as they are the same. Only Renew calls it.
 	Limits func() *quota.Limits
+	// Tolerance is what may be granted beyond the limits. It is the same at all VMs.
+	Tolerance quota.Tolerance
 	// Exchange sends a request to another VM and returns its response.
 	Exchange func(ctx context.Context, vm string, q QuotaRequest) (QuotaResponse, error)
 	// Return sends a message to another VM. It may be lost.
@@ -153,7 +155,7 @@
 func NewQuotas(opts QuotaOptions) *Quotas {
 	now := opts.Now()
 	return &Quotas{
-		opts: opts, startedAt: now, issuer: newQuotaIssuer(now, opts.Process), fleetSize: max(1, opts.FleetSize(now)),
+		opts: opts, startedAt: now, issuer: newQuotaIssuer(now, opts.Process, opts.Tolerance), fleetSize: max(1, opts.FleetSize(now)),
 		states: make(map[string]*organisation), returns: make(map[issuerProcess]map[string]uint64),
 		// IDs differ from those of an earlier process of this VM, and take few bytes.
 		lastID: uint64(uint32(opts.Process)) << 8 & 0xffffffff,
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -34,6 +34,25 @@
 	Tokens bool
 	// PlainTokens is what a request without declared sizes counts if the unit is tokens.
 	PlainTokens uint64
+
+	// tolerance is what may be granted beyond the limit. It is no part of a configuration.
+	tolerance Tolerance
+}
+
+// Tolerance is what an organisation may get beyond its limit in a window of 8 s: a part of
+// what the limit allows, and a number of units. The zero value allows nothing that is told.
+type Tolerance struct {
+	Over  float64
+	Units uint64
+}
+
+// WithTolerance returns the limit with what may be granted beyond it. Requests that exceed
+// the limit by less are granted: a refusal costs their callers more than it spares others.
+func (l Limit) WithTolerance(t Tolerance) Limit {
+	if l.Limited() {
+		l.tolerance = t
+	}
+	return l
 }
 
 // UnitTokens is the name of the unit of quotas in tokens. All other units are requests.
@@ -70,6 +89,11 @@
 	// rate. The users allow 110,000 units and a tenth of rate x 8 s + burst.
 	localSlack  = 30_000
 	localWindow = 450 * time.Millisecond
+	// The parts of a Tolerance that issuers grant. The rest is for Local buckets, which do
+	// not know what issuers grant.
+	rateTolerance      = 0.4
+	burstTolerance     = 0.8
+	overdraftTolerance = 0.55
 	// maxRetryAfter limits how far ahead callers are told to come back.
 	maxRetryAfter = 30 * time.Second
 	// retrySpread is the time over which callers that are refused come back.
@@ -90,13 +114,21 @@
 	return l.PlainTokens
 }
 
-func (l Limit) rate() float64  { return float64(l.Rate) * rateMargin }
-func (l Limit) burst() float64 { return float64(l.Burst) }
+func (l Limit) rate() float64 {
+	return float64(l.Rate) * max(rateMargin, 1+rateTolerance*l.tolerance.Over)
+}
+
+func (l Limit) burst() float64 { return float64(l.Burst) * (1 + burstTolerance*l.tolerance.Over) }
+
+// overdraft returns the units by which requests may exceed what is in a bucket.
+func (l Limit) overdraft() float64 {
+	return min(max(overdraft, overdraftTolerance*float64(l.tolerance.Units)), l.burst())
+}
 
 // need returns the level that a bucket with the given share of the fleet must have for a
 // request: what the overdraft does not cover, and no more than the bucket can hold.
 func (l Limit) need(share, capacity, units float64) float64 {
-	return max(0, min(units-share*min(overdraft, l.burst()), capacity))
+	return max(0, min(units-share*l.overdraft(), capacity))
 }
 
 // Limits holds the quotas of one configuration.
