internal/memaccount, internal/connlimit: limits on clients that do not behave

Cause: a body with a length was allocated before a byte had arrived, chunked bodies grew without a common budget, and the header and idle timeouts and the head size of the configuration were read and not used.

Change: an account of memory for bodies as they arrive and for events that wait for slow callers; bodies that have stopped arriving give way to those that arrive. Limits on connections in total and per source, on the time of heads and idle connections, and on the rates of bodies and of reading. Heads with more than 100 fields or over max_header_bytes get 431 before net/http holds them. All listeners of the entry VM and of the router's own API have them.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -81,6 +81,19 @@
 	state State
 }
 
+// NetConn returns the connection whose end is recorded.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite ends the sending side, with which package net/http lets a caller read a
+// response before its connection is closed.
+func (c *conn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return closer.CloseWrite()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/entryvm/status.go
+++ b/internal/entryvm/status.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/clientlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/roster"
@@ -50,6 +51,8 @@
 	// this VM has open for others.
 	Relayed          map[string]int64 `json:"relayed"`
 	RelayedForOthers int64            `json:"relayed_for_others"`
+	// Clients is what is held for callers and other clients.
+	Clients clientlimit.Status `json:"clients"`
 }
 
 func (v *VM) dump(now time.Time) Dump {
@@ -60,6 +63,7 @@
 		Suspects: v.crashTracker.Entries(now), Limits: v.limits.Status(now), Streams: v.streams.Status(now),
 		UpstreamsLeaving: v.drains.Ages(now), Backoffs: v.backoffs.Remaining(now), Ejections: v.ejections.Ages(now),
 		Brittle: v.brittle.Numbers(), Relayed: v.paths.Ages(now), RelayedForOthers: v.relayServer.Tunnels(),
+		Clients: v.clients.Status(),
 	}
 	if c := v.configuration.Current(); c != nil {
 		d.Version = c.Version()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -18,11 +18,9 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -32,22 +30,18 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
 	"github.com/hibiscuscove/hibiscuscove/internal/cacheevents"
-	"github.com/hibiscuscove/hibiscuscove/internal/connend"
+	"github.com/hibiscuscove/hibiscuscove/internal/clientlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/costmodel"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
-	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/ingress"
 	"github.com/hibiscuscove/hibiscuscove/internal/leader"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
-	"github.com/hibiscuscove/hibiscuscove/internal/metricpage"
 	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
@@ -63,10 +57,6 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle timeout that operators configure, so that
-	// callers close idle connections first.
-	idleTimeout = 2 * time.Minute
 	// memoryShare is the fraction of the VM's memory used as the Go memory limit.
 	// The rest is for the program itself and for socket buffers with received, unread
 	// bytes.
@@ -131,6 +121,7 @@
 	beacon                *beacon.Beacon
 	packetConn            net.PacketConn
 	direct                map[string]directHandler
+	clients               *clientlimit.Limits
 	pageClient            *pageserver.Client
 	downloads             *downloads
 	lags                  struct{ configurations, upstreams, versions lag }
@@ -206,6 +197,7 @@
 		Source: events, Upstreams: v.upstreams, Now: v.opts.Now, FollowShare: v.followShare, Log: v.log,
 	})
 	v.direct = v.directHandlers()
+	v.clients = clientlimit.New(clientlimit.Options{MemoryMB: s.MemoryMB, Metrics: v.metrics, Log: v.log})
 	return v, v.buildServers()
 }
 
@@ -289,6 +281,7 @@
 		Upstreams:     v.upstreams,
 		Connect:       v.connector.Connect,
 		Bodies:        readlimit.NewPool(maxResponseBytes),
+		Callers:       v.clients.Account,
 		RetryBudget:   retryBudget,
 		CrashTracker:  v.crashTracker,
 		Limits:        v.limits,
@@ -302,59 +295,15 @@
 		Log:           v.log,
 		Stage:         v.stage,
 	})
-	servers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{v.settings.CallersListen, v.countRequests(v.handler)},
-		{v.settings.ReadyListen, platform.ReadinessHandler(v.ready)},
-		{v.settings.DirectoryListen, platform.DirectoryHandler(v.opts.Now, v.findVMs)},
-		{v.settings.ControlListen, v.controlHandler()},
-	}
-	var kratosServers []transport.Server
-	if metricsPage := v.metricsServer(); metricsPage != nil {
-		kratosServers = append(kratosServers, metricsPage)
-	}
-	for i, s := range servers {
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return fmt.Errorf("entryvm: listen on %s: %w", s.address, err)
-		}
-		framingListener := framing.Listener{Listener: connend.Listener{Listener: listener, Now: v.opts.Now}}
-		if i == 0 {
-			listener = framingListener
-		}
-		server := v.newServer(listener, s.address, s.handler)
-		if i == 0 {
-			server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-				return connend.ConnContext(framingListener.ConnContext(ctx, c), c)
-			}
-			server.ConnState = framingListener.ConnState
-		}
-		kratosServers = append(kratosServers, server)
+	kratosServers, err := v.listenAll()
+	if err != nil {
+		return err
 	}
 	v.app = kratos.New(kratos.Name("hibiscuscove"), kratos.ID(v.settings.Name), kratos.Signal(noSignal{}),
 		kratos.StopTimeout(closeTimeout), kratos.Server(kratosServers...))
 	return nil
 }
 
-// newServer returns a kratos HTTP server without a request timeout, since callers'
-// requests end at their deadlines.
-func (v *VM) newServer(listener net.Listener, address string, handler http.Handler) *khttp.Server {
-	// Without an explicit endpoint kratos enumerates the machine's network
-	// interfaces, which not every platform allows.
-	endpoint := &url.URL{Scheme: "http", Host: address}
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
-	// Bypass kratos's router, which would clean the paths that callers send.
-	server.Handler = handler
-	// Otherwise net/http responds to "OPTIONS *" itself.
-	server.DisableGeneralOptionsHandler = true
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.IdleTimeout = idleTimeout
-	server.ErrorLog = log.New(serverErrors{v, address}, "", 0)
-	return server
-}
-
 // serverErrors counts and logs what a server of net/http reports: failed accepts, and
 // panics outside ingress.Handler.
 type serverErrors struct {
@@ -369,24 +318,6 @@
 	return len(p), nil
 }
 
-// metricsServer returns the server of the metrics page, or nil if the settings
-// have no address for it. If the address can't be opened, it logs a warning and
-// returns nil as well, since the VM can serve callers without the page.
-func (v *VM) metricsServer() transport.Server {
-	address := v.settings.MetricsListen
-	if address == "" {
-		return nil
-	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		v.log.Warn().Str("address", address).Err(err).Msg("metrics page not served")
-		return nil
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", metricpage.Handler(v.metrics))
-	return v.newServer(listener, address, mux)
-}
-
 // noSignal is a signal that is never delivered. The process handles signals and
 // cancels Run's context, so kratos must not catch any.
 type noSignal struct{}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,8 +1,9 @@
-// Package framing detects requests that two servers could read in different ways.
+// Package framing detects requests that two servers could read in different ways, and
+// refuses heads that are too large before net/http holds their fields.
 //
 // # Usage
 //
-//	listener := framing.Listener{Listener: listener}
+//	listener := framing.Listener{Listener: listener, Now: time.Now, Limits: limits}
 //	server.ConnContext, server.ConnState = listener.ConnContext, listener.ConnState
 //	server.Serve(listener)
 //
@@ -21,13 +22,36 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/wait"
 )
 
-// maxHeadBytes limits the bytes of a request's head. Larger heads count as
-// ambiguous.
-const maxHeadBytes = 64 << 10
+const (
+	// MaxHeadBytes and MaxFields are the default limits on a head.
+	MaxHeadBytes = 64 << 10
+	MaxFields    = 100
+	// startLineBytes is what the request line and the line ends may take beside the
+	// fields, like in net/http.
+	startLineBytes = 4 << 10
+	// refusalTimeout limits the writing of a refusal. The connection is closed
+	// refusalLinger later, since that resets it if the client goes on sending, and the
+	// client might not read the refusal then.
+	refusalTimeout = 300 * time.Millisecond
+	refusalLinger  = 200 * time.Millisecond
+)
+
+// refusal is the response to a head that is too large. Nothing has been run.
+const refusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Limits bounds the head of a request. A value of 0 means the default.
+type Limits struct {
+	// Bytes bounds the fields, Fields their number.
+	Bytes, Fields int
+}
 
 // Listener detects request heads with ambiguous framing that net/http accepts:
 // Content-Length together with Transfer-Encoding, bare line feeds and folded
@@ -35,6 +59,13 @@
 // ConnState and ConnContext as the fields of the same name in http.Server.
 type Listener struct {
 	net.Listener
+	// Now returns the current time.
+	Now func() time.Time
+	// Limits, if it is set, returns the limits in force.
+	Limits func() Limits
+	// TooLarge, if it is set, is called when a head was refused, with the reason in snake
+	// case.
+	TooLarge func(c net.Conn, reason string)
 }
 
 // Accept implements net.Listener.
@@ -43,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &inspectedConn{Conn: c, inHead: true}, nil
+	return &inspectedConn{Conn: c, listener: l, inHead: true}, nil
 }
 
 // ConnContext adds the framing check of the connection to the context of its
@@ -92,9 +123,13 @@
 // inspectedConn inspects the request heads that are read from a connection.
 type inspectedConn struct {
 	net.Conn
+	listener Listener
 
 	mu     sync.Mutex
 	inHead bool
+	// lines is the number of line ends in the current head, and scanned the number of its
+	// bytes that were searched for its end.
+	lines, scanned int
 	// head holds the bytes of the current head that were read so far.
 	head []byte
 	// uncheckedHeads counts the inspected heads whose requests were not checked yet.
@@ -110,41 +145,120 @@
 func (c *inspectedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.inspect(p[:n], len(p) == 1)
+		if reason := c.inspect(p[:n], len(p) == 1); reason != "" {
+			c.refuseHead(reason)
+			// net/http closes the connection without a response of its own.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
+		}
 	}
 	return n, err
 }
 
-// inspect inspects bytes that were read. net/http reads a single byte in the
-// background to detect that the caller has disconnected, so background means
-// that the byte starts the next head.
-func (c *inspectedConn) inspect(p []byte, background bool) {
+// refuseHead responds to a head that is too large, and lets the client read that.
+func (c *inspectedConn) refuseHead(reason string) {
+	if c.listener.TooLarge != nil {
+		c.listener.TooLarge(c.Conn, reason)
+	}
+	// Connections in between may set deadlines of their own.
+	conn := c.Conn
+	for wrapper, wraps := conn.(interface{ NetConn() net.Conn }); wraps; wrapper, wraps = conn.(interface{ NetConn() net.Conn }) {
+		conn = wrapper.NetConn()
+	}
+	// The client may have gone, or take nothing: then it gets no response.
+	_ = conn.SetDeadline(c.listener.Now().Add(refusalTimeout))
+	if _, err := conn.Write([]byte(refusal)); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	wait.For(context.Background(), refusalLinger)
+}
+
+// CloseWrite ends the sending side, with which package net/http lets a caller read a
+// response before its connection is closed.
+func (c *inspectedConn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return closer.CloseWrite()
+}
+
+// inspect inspects bytes that were read and returns why their head is refused, or "".
+// net/http reads a single byte in the background to detect that the caller has
+// disconnected, so background means that the byte starts the next head.
+func (c *inspectedConn) inspect(p []byte, background bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if background && !c.inHead {
-		c.inHead = true
-		c.head = c.head[:0]
+		c.startHead()
 	}
 	if !c.inHead {
-		return
+		return ""
 	}
 	if len(c.head) == 0 {
 		p = bytes.TrimLeft(p, "\r\n") // net/http skips empty lines before a request
 	}
 	c.head = append(c.head, p...)
-	end := bytes.Index(c.head, []byte("\r\n\r\n"))
-	if end < 0 && len(c.head) < maxHeadBytes {
-		c.ambiguous = c.ambiguous || bytes.Contains(c.head, []byte("\n\n"))
-		return
-	}
+	end, bare := findHeadEnd(c.head, max(0, c.scanned-3))
+	searched := c.head
 	if end >= 0 {
-		c.ambiguous = c.ambiguous || isAmbiguousHead(string(c.head[:end]))
-	} else {
-		c.ambiguous = true
+		searched = c.head[:end]
+	}
+	if c.scanned < len(searched) {
+		c.lines += bytes.Count(searched[c.scanned:], []byte("\n"))
+	}
+	c.scanned = len(searched)
+	if reason := c.checkSize(len(searched)); reason != "" {
+		return reason
+	}
+	if end < 0 {
+		return ""
 	}
+	c.ambiguous = c.ambiguous || bare || isAmbiguousHead(string(searched))
 	c.uncheckedHeads++
 	c.inHead = false
 	c.head = nil
+	return ""
+}
+
+// findHeadEnd returns the index of the empty line that ends a head, -1 if there is none
+// from an index on. bare is set if the line before it ends with a bare line feed.
+func findHeadEnd(head []byte, from int) (end int, bare bool) {
+	end = bytes.Index(head[from:], []byte("\r\n\r\n"))
+	if i := bytes.Index(head[from:], []byte("\n\n")); i >= 0 && (end < 0 || i < end) {
+		end, bare = i, true
+	}
+	if end < 0 {
+		return -1, false
+	}
+	return from + end, bare
+}
+
+// checkSize returns why a head with a number of bytes so far is refused, or "". The caller
+// holds the lock.
+func (c *inspectedConn) checkSize(size int) string {
+	var limits Limits
+	if c.listener.Limits != nil {
+		limits = c.listener.Limits()
+	}
+	if limits.Bytes <= 0 {
+		limits.Bytes = MaxHeadBytes
+	}
+	if limits.Fields <= 0 {
+		limits.Fields = MaxFields
+	}
+	switch {
+	case size > limits.Bytes+startLineBytes:
+		return "head_too_large"
+	case c.lines > limits.Fields+1: // the request line, and the end of the last field
+		return "too_many_fields"
+	}
+	return ""
+}
+
+// startHead prepares for the next head. The caller holds the lock.
+func (c *inspectedConn) startHead() {
+	c.inHead, c.head, c.lines, c.scanned = true, nil, 0, 0
 }
 
 // expectHead prepares for the next head.
@@ -152,8 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inHead {
-		c.inHead = true
-		c.head = nil
+		c.startHead()
 	}
 }
 
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -30,6 +30,7 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/health"
 	"github.com/hibiscuscove/hibiscuscove/internal/intake"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
+	"github.com/hibiscuscove/hibiscuscove/internal/memaccount"
 	"github.com/hibiscuscove/hibiscuscove/internal/message"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
@@ -51,7 +52,7 @@
 	TrialRank(now time.Time, fingerprint string) int
 }
 
-// Options configures a Handler. All fields but Log and Streams are required.
+// Options configures a Handler. All fields but Callers, Log and Streams are required.
 type Options struct {
 	// Now returns the current time.
 	Now           func() time.Time
@@ -62,7 +63,10 @@
 	// that nothing was sent.
 	Connect func(ctx context.Context, u roster.Upstream, requestID string) (*exchange.Conn, error)
 	// Bodies buffers the responses that are forwarded whole.
-	Bodies       *readlimit.Pool
+	Bodies *readlimit.Pool
+	// Callers is the memory for the bodies of requests and for responses that callers have
+	// not read. If it is nil, there is no limit in total.
+	Callers      *memaccount.Account
 	RetryBudget  *retry.Budget
 	CrashTracker *suspect.Tracker
 	Limits       *permit.Agent
@@ -164,11 +168,14 @@
 	}
 	if e := checkFraming(r); e != nil {
 		w.Header().Set("Connection", "close")
+		intake.Unread(now, w, r)
 		_ = h.refuse(w, message.Request{}, e) // the request has not been read whole
 		return
 	}
 	j = job{h: h, w: w, r: r}
+	defer j.release()
 	if err := j.read(now, stage); err != nil {
+		intake.Unread(h.opts.Now(), w, r)
 		_ = h.refuse(w, j.Head, verdict.FromError(err)) // the request may not have been read whole
 		return
 	}
@@ -224,10 +231,17 @@
 	if cfg == nil {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_configuration", "the VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
-	j.Request, err = intake.Read(now, j.w, j.r, cfg, request)
+	j.Request, err = intake.Read(now, j.w, j.r, cfg, request, intake.Bodies{Account: h.opts.Callers, Now: h.opts.Now})
 	return err
 }
 
+// release gives back the memory that is held for the request.
+func (j *job) release() {
+	if j.Release != nil {
+		j.Release()
+	}
+}
+
 // refuse logs and counts an error of the router and sends it to the caller. It returns
 // an error if the connection does not take it.
 func (h *Handler) refuse(w http.ResponseWriter, q message.Request, e *verdict.Error) error {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// receiveBuffer is the number of events that are read ahead of the caller.
-	receiveBuffer = 2
 	// maxConnectAttempts limits the connection attempts per request. Nothing was
 	// sent on those that failed.
 	maxConnectAttempts = 4
@@ -97,7 +95,7 @@
 	// legs are the attempts under way, the oldest first. There are two while another
 	// upstream may take the place of a silent one.
 	legs     []*leg.Leg
-	received chan leg.Received
+	received *leg.Queue
 	// stream names the stream for other VMs, and build is the only build at which it
 	// may go on, nil before its first event.
 	stream      lineage.Stream
@@ -152,7 +150,8 @@
 	j.callerTimer = time.NewTimer(time.Hour)
 	defer j.callerTimer.Stop()
 	j.lastEvent = j.Head.ResumeAfter
-	j.received = make(chan leg.Received, receiveBuffer)
+	j.received = j.newQueue()
+	defer j.received.Close()
 	j.silence = time.NewTimer(time.Hour)
 	defer j.silence.Stop()
 	defer func() {
@@ -187,6 +186,14 @@
 	}
 }
 
+// newQueue returns a queue for what legs read ahead of the caller.
+func (j *job) newQueue() *leg.Queue {
+	if j.h.opts.Callers == nil {
+		return leg.NewQueue(nil)
+	}
+	return leg.NewQueue(j.h.opts.Callers)
+}
+
 // step starts an attempt if none is under way, or else waits for one thing to happen.
 // It returns the error of an attempt that has ended.
 func (j *job) step(ctx context.Context, cancel context.CancelFunc) (done bool, err error) {
@@ -194,14 +201,12 @@
 		return false, j.startLeg(ctx)
 	}
 	// What has been read comes before any clock.
-	select {
-	case r := <-j.received:
+	if r, found := j.received.Take(); found {
 		return j.receive(ctx, r)
-	default:
 	}
 	select {
-	case r := <-j.received:
-		return j.receive(ctx, r)
+	case <-j.received.Ready():
+		return false, nil
 	case <-j.silence.C:
 		j.handleSilence(ctx)
 		return false, nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,14 +5,13 @@
 // # Usage
 //
 //	head, err := codec.DecodeRequest(r)
-//	request, err := intake.Read(now, w, r, configuration, head)
+//	request, err := intake.Read(now, w, r, configuration, head, bodies)
+//	defer request.Release()
 //	choice, found := table.Pick(now, request.Query())
 //	header := codec.EncodeHeader(request.UpstreamCall(now, choice, ""))
 package intake
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -45,6 +44,9 @@
 	Configuration *routing.Config
 	Revision      uint64
 	Body          []byte
+	// Release gives back the memory that is held for the body. It is never nil once the
+	// request has been read.
+	Release func()
 	// Fingerprint is the same for all attempts of a request, at any VM. Parts holds the
 	// fingerprints of the shared parts of its prompt.
 	Fingerprint string
@@ -53,15 +55,16 @@
 
 // Read reads the rest of a request that arrived now. Its error is a *verdict.Error; the
 // request then has its Head nevertheless.
-func Read(now time.Time, w http.ResponseWriter, r *http.Request, cfg *routing.Config, head message.Request) (Request, error) {
-	q := Request{StartedAt: now, Head: head, Configuration: cfg, Revision: cfg.Revision()}
+func Read(now time.Time, w http.ResponseWriter, r *http.Request, cfg *routing.Config, head message.Request, bodies Bodies) (Request, error) {
+	q := Request{StartedAt: now, Release: func() {}, Head: head, Configuration: cfg, Revision: cfg.Revision()}
 	if err := q.resolveRoute(cfg, r); err != nil {
 		return q, err
 	}
 	var err error
-	if q.Body, err = readBody(w, r, cfg.Limits()); err != nil {
+	if q.Body, q.Release, err = bodies.Read(w, r, q.Organisation.Name, cfg.Limits().MaxBodyBytes); err != nil {
 		return q, err
 	}
+	q.allowBodyTime(bodies.Now())
 	q.Fingerprint = quarantine.Fingerprint(q.Organisation.Name, r.Method+" "+r.Host+r.RequestURI, q.Body)
 	if q.Service.Engine {
 		q.Parts = suspect.PartFingerprints(q.Organisation.Name, q.Head.Model, q.Head.SharedParts())
@@ -101,6 +104,23 @@
 	return nil
 }
 
+// allowBodyTime lets the time of the route begin when the body has arrived. The time that
+// the caller has left goes on meanwhile.
+func (q *Request) allowBodyTime(arrived time.Time) {
+	deadline := arrived.Add(q.RouteTimeout())
+	if q.Head.TimeLeft > 0 {
+		deadline = minTime(deadline, q.StartedAt.Add(q.Head.TimeLeft))
+	}
+	q.Deadline = deadline
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // RouteTimeout returns the longest time that the route's requests may take.
 func (q Request) RouteTimeout() time.Duration {
 	if q.Route.Timeout <= 0 {
@@ -109,30 +129,6 @@
 	return q.Route.Timeout
 }
 
-// readBody reads the request's body within the limit on its size.
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, error) {
-	body := r.Body
-	if limits.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	var raw []byte
-	var err error
-	if r.ContentLength > 0 && r.ContentLength <= limits.MaxBodyBytes {
-		raw = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, raw)
-	} else {
-		raw, err = io.ReadAll(body)
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) || r.ContentLength > limits.MaxBodyBytes && limits.MaxBodyBytes > 0 {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
-	}
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole").WithCause(err)
-	}
-	return raw, nil
-}
-
 // Query describes the request for choosing an upstream.
 func (q Request) Query() roster.Query {
 	query := roster.Query{Service: q.Service.Name}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -40,8 +40,16 @@
 	}}
 }
 
-// Set lets an open connection notice silence. It does nothing for other than TCP connections.
+// Set lets an open connection notice silence, also one that others wrap, if they have a
+// method NetConn. It does nothing for other than TCP connections.
 func Set(conn net.Conn) error {
+	for {
+		wrapper, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -5,8 +5,9 @@
 //
 //	l := leg.New(leg.Options{Upstream: u, InFlight: inFlight, SentAt: now, ...})
 //	defer l.End()
-//	go l.Run(ctx, conn, request, id, out)
-//	received := <-out // again until its Err is set; out is never closed
+//	go l.Run(ctx, conn, request, id, queue)
+//	<-queue.Ready()
+//	received, found := queue.Take() // again until its Err is set
 //
 // A Leg's Options don't change. Its other fields belong to its owner, which calls all
 // methods but Run in one goroutine.
@@ -155,16 +156,11 @@
 
 // Run sends the request and passes on to out what it reads until the response or ctx ends.
 // If it panics, that is a *PanicError, so that the other requests go on.
-func (l *Leg) Run(ctx context.Context, conn *exchange.Conn, request exchange.Request, id string, out chan<- Received) {
+func (l *Leg) Run(ctx context.Context, conn *exchange.Conn, request exchange.Request, id string, out *Queue) {
 	defer conn.Close()
 	pass := func(r Received) bool {
 		r.Leg = l
-		select {
-		case out <- r:
-			return r.Err == nil
-		case <-ctx.Done():
-			return false
-		}
+		return out.Add(ctx, r) && r.Err == nil
 	}
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/admin"
+	"github.com/hibiscuscove/hibiscuscove/internal/clientlimit"
+	"github.com/hibiscuscove/hibiscuscove/internal/connlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
 	"github.com/hibiscuscove/hibiscuscove/internal/crashreport"
 	"github.com/hibiscuscove/hibiscuscove/internal/discovery"
@@ -57,6 +59,12 @@
 	stopTimeout        = 2 * time.Hour
 	ledgerFlushTimeout = 10 * time.Second
 	retryBudgetBurst   = 20
+	readHeaderTimeout  = 10 * time.Second
+	// idleTimeout is longer than callers and nodes keep idle connections, so that they
+	// close them first.
+	idleTimeout = 5 * time.Minute
+	// connShare is the share of the connections that each of the two servers may have.
+	connShare = 0.5
 )
 
 // Options sets up a Node. Now is required.
@@ -91,6 +99,7 @@
 	crashes       *crashreport.Reporter
 	watcher       *health.Watcher
 	metrics       metrics.Registry
+	clients       *clientlimit.Limits
 	app           *kratos.App
 	callers       *server.Server
 
@@ -117,6 +126,7 @@
 		metrics:       metrics.NewRegistry(),
 		gates:         make(map[string]*limit.Gate),
 	}
+	n.clients = clientlimit.New(clientlimit.Options{MemoryMB: s.MemoryMB, MaxBodyBytes: int64(s.MaxBodyBytes), Metrics: n.metrics, Log: n.log})
 	n.createClients()
 	n.buildFleet()
 	n.buildLedger()
@@ -234,16 +244,17 @@
 		Log:              n.log,
 		BodyLimits:       openai.Limits{MaxBodyBytes: int64(n.settings.MaxBodyBytes), MaxDepth: n.settings.MaxJSONDepth},
 		MaxResponseBytes: int64(n.settings.MaxAnswerBytes),
+		Callers:          n.clients.Account,
 		CallerTimeout:    n.settings.CallerTimeout(),
 		SilenceTimeout:   n.settings.Silence(),
 	})
 	mux := http.NewServeMux()
 	handler.Register(mux)
-	callers, err := n.listen(n.settings.Listen, server.Options{Handler: mux, Leaving: n.leaving.Load})
+	callers, err := n.listen(n.settings.Listen, server.Options{Name: "callers", Handler: mux, Leaving: n.leaving.Load})
 	if err != nil {
 		return err
 	}
-	control, err := n.listen(n.settings.ControlListen, server.Options{Handler: n.controlMux()})
+	control, err := n.listen(n.settings.ControlListen, server.Options{Name: "control", Handler: n.controlMux()})
 	if err != nil {
 		return err
 	}
@@ -263,6 +274,8 @@
 func (n *Node) listen(address string, opts server.Options) (*server.Server, error) {
 	opts.Now = n.opts.Now
 	opts.MaxHeaderBytes = n.settings.MaxHeaderBytes
+	opts.Times = connlimit.Times{Head: readHeaderTimeout, Idle: idleTimeout, Body: n.settings.CallerTimeout()}
+	opts.Connections, opts.Report = n.clients.Table(opts.Name, connShare), n.clients.Report
 	s, err := server.Listen(address, opts)
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -17,7 +17,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -30,8 +29,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/contract"
+	"github.com/hibiscuscove/hibiscuscove/internal/intake"
 	"github.com/hibiscuscove/hibiscuscove/internal/ledger"
 	"github.com/hibiscuscove/hibiscuscove/internal/limit"
+	"github.com/hibiscuscove/hibiscuscove/internal/memaccount"
 	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/placement"
 	"github.com/hibiscuscove/hibiscuscove/internal/publication"
@@ -101,8 +102,10 @@
 	BodyLimits openai.Limits
 	// MaxResponseBytes limits a response that is buffered whole. The default is 16 MiB.
 	MaxResponseBytes int64
-	// CallerTimeout limits the reading of a body and one write to a caller. The
-	// default is 30 s.
+	// Callers is the memory for the bodies of requests. If it is nil, there is no limit in
+	// total.
+	Callers *memaccount.Account
+	// CallerTimeout limits one write to a caller. The default is 30 s.
 	CallerTimeout time.Duration
 	// SilenceTimeout is how long an upstream's connection may be silent before it is
 	// replaced. The default is 2 s.
@@ -195,23 +198,29 @@
 	return r, nil
 }
 
-// readBody reads the request's body within the limits on its size and time.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(h.opts.Now().Add(h.callerTimeout()))
-	limited := http.MaxBytesReader(w, r.Body, h.opts.BodyLimits.MaxBodyBytes)
-	body, err := io.ReadAll(limited)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large").WithObject("body", "")
-	}
+// readBody reads the request's body within the limits on its size and on the memory for
+// all. The connection limits its time.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, organisation string, held *heldBody) ([]byte, error) {
+	bodies := intake.Bodies{Account: h.opts.Callers, Now: h.opts.Now}
+	body, release, err := bodies.Read(w, r, organisation, h.opts.BodyLimits.MaxBodyBytes)
+	held.release = release
 	if err != nil {
-		return nil, verdict.New(verdict.NotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole").WithObject("body", "").WithCause(err)
+		return nil, verdict.FromError(err).WithObject("body", "")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// callerTimeout returns the timeout for reading a body and for writes to a caller.
+// heldBody gives back the memory that is held for a request's body. The zero value holds
+// none.
+type heldBody struct{ release func() }
+
+func (b *heldBody) end() {
+	if b.release != nil {
+		b.release()
+	}
+}
+
+// callerTimeout returns the timeout for writes to a caller.
 func (h *Handler) callerTimeout() time.Duration {
 	const defaultCallerTimeout = 30 * time.Second
 	if h.opts.CallerTimeout <= 0 {
@@ -227,7 +236,7 @@
 }
 
 // handle reads a request as a job and serves it, or sends an error.
-func (h *Handler) handle(w http.ResponseWriter, r *http.Request, newJob func(time.Time, http.ResponseWriter, *http.Request) (*job, error)) {
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, newJob func(time.Time, http.ResponseWriter, *http.Request, *heldBody) (*job, error)) {
 	h.metrics.requests.Inc(1)
 	var j *job
 	defer func() {
@@ -235,8 +244,11 @@
 			h.handlePanic(w, r, j, cause)
 		}
 	}()
+	var held heldBody
+	defer held.end()
 	var err error
-	if j, err = newJob(h.opts.Now(), w, r); err != nil {
+	if j, err = newJob(h.opts.Now(), w, r, &held); err != nil {
+		intake.Unread(h.opts.Now(), w, r)
 		h.refuse(w, err)
 		return
 	}
@@ -265,12 +277,12 @@
 }
 
 // newModelJob reads and checks a request to a model.
-func (h *Handler) newModelJob(now time.Time, w http.ResponseWriter, r *http.Request) (*job, error) {
+func (h *Handler) newModelJob(now time.Time, w http.ResponseWriter, r *http.Request, held *heldBody) (*job, error) {
 	organisation, catalogue, err := h.authenticate(r)
 	if err != nil {
 		return nil, err
 	}
-	body, err := h.readBody(w, r)
+	body, err := h.readBody(w, r, organisation.Name, held)
 	if err != nil {
 		return nil, err
 	}
@@ -287,7 +299,7 @@
 }
 
 // newServiceJob reads and checks a request to a plain service.
-func (h *Handler) newServiceJob(now time.Time, w http.ResponseWriter, r *http.Request) (*job, error) {
+func (h *Handler) newServiceJob(now time.Time, w http.ResponseWriter, r *http.Request, held *heldBody) (*job, error) {
 	organisation, catalogue, err := h.authenticate(r)
 	if err != nil {
 		return nil, err
@@ -296,7 +308,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := h.readBody(w, r)
+	body, err := h.readBody(w, r, organisation.Name, held)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	s, err := server.Listen("127.0.0.1:7100", server.Options{Now: time.Now, Handler: mux})
+//	s, err := server.Listen("127.0.0.1:7100", server.Options{Now: time.Now, Handler: mux, ...})
 //	if err != nil {
 //		return err
 //	}
@@ -26,18 +26,25 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connlimit"
+	"github.com/hibiscuscove/hibiscuscove/internal/framing"
 	"github.com/hibiscuscove/hibiscuscove/internal/openai"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
-// Options sets up a Server. Now and Handler are required.
+// Options sets up a Server. All fields but MaxHeaderBytes and Leaving are required.
 type Options struct {
 	Now     func() time.Time
 	Handler http.Handler
-	// MaxHeaderBytes limits the head of a request. The default is that of net/http.
+	// Name names the server in counters and log lines.
+	Name string
+	// MaxHeaderBytes limits the head of a request. The default is framing.MaxHeadBytes.
 	MaxHeaderBytes int
+	// Times are the time limits on clients.
+	Times connlimit.Times
+	// Connections limits the connections, and Report says what clients were cut off for.
+	Connections *connlimit.Table
+	Report      *connlimit.Reporter
 	// Leaving, if it is set, reports whether each connection is closed after the
 	// response, so that callers connect to another node.
 	Leaving func() bool
@@ -61,11 +68,24 @@
 	if opts.Leaving != nil {
 		handler = closeIfLeaving(opts.Leaving, handler)
 	}
-	listener := &quietListener{Listener: inner, now: opts.Now}
+	limited := connlimit.Listener{Listener: inner, Options: connlimit.Options{
+		Name: opts.Name, Now: opts.Now, Times: func() connlimit.Times { return opts.Times }, Table: opts.Connections, Report: opts.Report,
+	}}
+	checked := framing.Listener{
+		Listener: limited, Now: opts.Now, Limits: func() framing.Limits { return framing.Limits{Bytes: opts.MaxHeaderBytes} },
+		TooLarge: func(c net.Conn, reason string) {
+			opts.Report.Report(opts.Now(), opts.Name, reason, connlimit.SourceOf(c.RemoteAddr()))
+		},
+	}
+	listener := &quietListener{Listener: checked, now: opts.Now}
 	s := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(rejectUncleanPath))
 	s.HandlePrefix("/", handler)
-	s.ConnState = listener.trackState
-	s.ReadHeaderTimeout = readHeaderTimeout
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		listener.trackState(c, state)
+		checked.ConnState(c, state)
+		limited.ConnState(c, state)
+	}
+	s.ReadHeaderTimeout, s.IdleTimeout = connlimit.ServerTimeout, connlimit.ServerTimeout
 	s.MaxHeaderBytes = opts.MaxHeaderBytes
 	return &Server{Server: s, listener: listener}, nil
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -8,7 +8,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connlimit"
 	"github.com/hibiscuscove/hibiscuscove/internal/server"
 )
 
@@ -19,6 +22,9 @@
 		Now:     time.Now,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 		Leaving: func() bool { return leaving },
+		Name:    "callers", Times: connlimit.Times{Head: time.Second, Idle: time.Second},
+		Connections: connlimit.NewTable(connlimit.TableOptions{Max: 10, MaxPerSource: 10}),
+		Report:      connlimit.NewReporter(metrics.NewRegistry(), zerolog.Nop()),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,9 @@
 	// PeerToken is the bearer token for calls between nodes.
 	PeerToken Secret `json:"peer_token"`
 
+	// MemoryMB is the VM's memory in MiB, from which the limits on clients follow.
+	MemoryMB int `json:"memory_mb"`
+
 	EntryTTLMS       int `json:"entry_ttl_ms"`
 	HeartbeatMS      int `json:"heartbeat_ms"`
 	ProbeMS          int `json:"probe_ms"`
@@ -95,6 +98,7 @@
 // Default returns the default settings. Fields without a default are empty.
 func Default() Settings {
 	return Settings{
+		MemoryMB:          1_024,
 		EntryTTLMS:        5_000,
 		HeartbeatMS:       500,
 		ProbeMS:           500,
@@ -185,6 +189,7 @@
 		dayMS    = 24 * hourMS
 		mebibyte = 1 << 20
 	)
+	c.checkRange("memory_mb", s.MemoryMB, 16, mebibyte)
 	c.checkRange("entry_ttl_ms", s.EntryTTLMS, 100, hourMS)
 	c.checkRange("heartbeat_ms", s.HeartbeatMS, 20, 60_000)
 	c.checkRange("probe_ms", s.ProbeMS, 20, 60_000)
