internal/connlimit, platform/soak: clients at every address, with real processes

Cause: a hundred silent clients at the readiness address, which has few connections, kept new ones out for 2 s; tests covered the callers' address alone.

Change: for a new connection the longest of those without a head gives way after a flood. Pipelined requests get 503 at every address, also of the own API. The peers' port counts and logs what is no message.

--- a/cmd/hibiscuscove/main.go
+++ b/cmd/hibiscuscove/main.go
@@ -17,6 +17,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -28,6 +29,11 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
+
+	// memoryShare is the fraction of the VM's memory used as the Go memory limit. The rest
+	// is for the program itself and for socket buffers.
+	memoryShare = 0.375
+	mebibyte    = 1 << 20
 )
 
 func main() {
@@ -80,6 +86,7 @@
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
+	debug.SetMemoryLimit(int64(memoryShare * mebibyte * float64(s.MemoryMB)))
 	n, err := hibiscuscove.NewNode(s, &hibiscuscove.NodeOptions{Log: log})
 	if err != nil {
 		log.Error().Err(err).Msg("node not started")
--- a/cmd/hibiscuscove/process_test.go
+++ b/cmd/hibiscuscove/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -164,13 +165,16 @@
 	return true
 }
 
-func (s *system) startNode(i int) *process {
+func (s *system) startNode(i int) *process { return s.startNodeWith(i, nil) }
+
+// startNodeWith starts a node whose settings have further values.
+func (s *system) startNodeWith(i int, settings map[string]any) *process {
 	listen, control := freeAddress(), freeAddress()
 	var peers []string
 	for _, n := range s.nodes {
 		peers = append(peers, n.control)
 	}
-	config := s.writeFile(fmt.Sprintf("node-%d.json", nextPort.Add(1)), map[string]any{
+	all := map[string]any{
 		"name":           fmt.Sprintf("node-%d", i+1),
 		"data_centre":    "dc-1",
 		"listen":         listen,
@@ -184,7 +188,9 @@
 		"probe_ms":       50,
 		"silence_ms":     200,
 		"entry_ttl_ms":   200,
-	})
+	}
+	maps.Copy(all, settings)
+	config := s.writeFile(fmt.Sprintf("node-%d.json", nextPort.Add(1)), all)
 	n := startProcess(s.t, "hibiscuscove", "-settings", config)
 	n.address, n.control, n.config = listen, control, config
 	return n
--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -218,7 +218,9 @@
 	// Serve handles a direct message of another VM and returns the reply to it, nil for
 	// none. It runs on the goroutine that receives all datagrams. Nil serves none.
 	Serve func(now time.Time, from, kind string, body []byte) []byte
-	Log   zerolog.Logger
+	// Reject is called for each datagram that is no message. Nil ignores them.
+	Reject func(now time.Time, from net.Addr)
+	Log    zerolog.Logger
 }
 
 // Beacon sends the beacons of one VM and receives those of the others.
@@ -564,7 +566,9 @@
 		}
 		m, err := Unpack(buffer[:n])
 		if err != nil {
-			b.opts.Log.Debug().Err(err).Msg("datagram not decoded")
+			if b.opts.Reject != nil {
+				b.opts.Reject(b.opts.Now(), from)
+			}
 			continue
 		}
 		now := b.opts.Now()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -314,6 +314,7 @@
 	case c.phase == handling && !c.own.IsZero():
 		now := c.options.Now()
 		if c.pace.Received(now, n) {
+			c.own, c.foreign = time.Time{}, true
 			return true
 		}
 		// Setting the deadline anew for each read would cost more than the margin matters.
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -191,3 +191,49 @@
 		t.Errorf("the second line does not tell of those before:\n%s", log.String())
 	}
 }
+
+// BenchmarkRequest measures requests on one connection with and without the limits.
+func BenchmarkRequest(b *testing.B) {
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	for name, limited := range map[string]bool{"plain": false, "limited": true} {
+		b.Run(name, func(b *testing.B) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }), ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			listener := inner
+			if limited {
+				own := connlimit.Listener{Listener: inner, Options: connlimit.Options{
+					Name: "test", Now: time.Now, Times: func() connlimit.Times { return connlimit.Times{Head: time.Second, Idle: time.Second} },
+					Table: connlimit.NewTable(connlimit.TableOptions{Max: 9, MaxPerSource: 9}), Report: connlimit.NewReporter(metrics.NewRegistry(), zerolog.Nop()),
+				}}
+				listener, server.ConnState = own, own.ConnState
+			}
+			go func() { _ = server.Serve(listener) }()
+			defer func() { _ = server.Close() }()
+			c, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			in := bufio.NewReader(c)
+			for b.Loop() {
+				_, _ = io.WriteString(c, request)
+				if _, err := http.ReadResponse(in, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against cutting off callers that read at 2 KB/s: the time for any part of a
+// response is longer than they need.
+func TestWriteTimeout(t *testing.T) {
+	for _, n := range []int{1, 1 << 10, 64 << 10} {
+		if needed := time.Duration(n) * time.Second / (2 << 10); connlimit.WriteTimeout(n) < 2*needed+10*time.Second {
+			t.Errorf("%d bytes: %v, needed %v", n, connlimit.WriteTimeout(n), needed)
+		}
+	}
+}
--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -22,8 +22,7 @@
 )
 
 // minWaiting is how long a connection has not sent a whole head at least when it is closed
-// in favour of a new one. Ordinary callers send theirs at once. With a second, a hundred
-// clients that come back at once kept all others out.
+// in favour of an idle one. Ordinary callers send theirs at once.
 const minWaiting = 250 * time.Millisecond
 
 // State is what a connection does.
@@ -128,8 +127,10 @@
 }
 
 // leastUseful returns the connection to close: first an idle one that its client does not
-// use again, then one that has been slow with its head, then the one that has been idle
-// for the longest time. The caller holds the lock.
+// use again, then one that has been slow with its head. Without these it is the longest of
+// those that wait for a head, or of the idle ones, whichever are more: after a flood of new
+// connections the former, whose clients would keep all others out. The caller holds the
+// lock.
 func (t *Table) leastUseful(now time.Time, safeIdle time.Duration, within func(*Entry) bool) *Entry {
 	first := func(l *list.List, minAge time.Duration) *Entry {
 		for element := l.Front(); element != nil; element = element.Next() {
@@ -149,7 +150,14 @@
 	if e := first(&t.waiting, minWaiting); e != nil {
 		return e
 	}
-	return first(&t.idle, 0)
+	larger, smaller := &t.idle, &t.waiting
+	if t.waiting.Len() > t.idle.Len() {
+		larger, smaller = smaller, larger
+	}
+	if e := first(larger, 0); e != nil {
+		return e
+	}
+	return first(smaller, 0)
 }
 
 // remove takes an entry out. The caller holds the lock.
--- a/internal/connlimit/table_test.go
+++ b/internal/connlimit/table_test.go
@@ -37,6 +37,8 @@
 		"idle too long for its client":        {[]connection{{"slow", first, connlimit.Waiting, 2 * time.Second}, {"old", first, connlimit.Idle, 13 * time.Second}, {"a", second, connlimit.Active, 0}}, second, true, "old"},
 		"slow head before an idle connection": {[]connection{{"slow", first, connlimit.Waiting, 2 * time.Second}, {"idle", first, connlimit.Idle, 11 * time.Second}, {"a", second, connlimit.Active, 0}}, second, true, "slow"},
 		"head just begun stays":               {[]connection{{"new", first, connlimit.Waiting, 100 * time.Millisecond}, {"idle", first, connlimit.Idle, time.Second}, {"a", second, connlimit.Active, 0}}, second, true, "idle"},
+		"flood of new connections":            {[]connection{{"oldest", first, connlimit.Waiting, 100 * time.Millisecond}, {"new", second, connlimit.Waiting, 10 * time.Millisecond}, {"idle", second, connlimit.Idle, time.Second}}, first, true, "oldest"},
+		"only new ones beside active":         {[]connection{{"new", first, connlimit.Waiting, 10 * time.Millisecond}, {"a", first, connlimit.Active, 0}, {"b", second, connlimit.Active, 0}}, second, true, "new"},
 		"all in use":                          {[]connection{{"a", first, connlimit.Active, time.Hour}, {"b", second, connlimit.Active, time.Hour}, {"c", second, connlimit.Active, time.Hour}}, first, false, ""},
 		"one source, its own is closed":       {[]connection{{"other", second, connlimit.Idle, time.Hour}, {"own", first, connlimit.Idle, time.Second}, {"a", first, connlimit.Active, 0}}, first, true, "own"},
 		"one source, all in use":              {[]connection{{"other", second, connlimit.Idle, time.Hour}, {"a", first, connlimit.Active, 0}, {"b", first, connlimit.Active, 0}}, first, false, ""},
--- a/internal/entryvm/servers.go
+++ b/internal/entryvm/servers.go
@@ -156,13 +156,28 @@
 	return framing.Limits{Bytes: min(c.Limits().MaxHeaderBytes, framing.MaxHeadBytes)}
 }
 
-// limitBody limits the size of bodies, and the time in which they must have arrived.
+// limitBody limits the size of bodies, and the time in which they must have arrived. It
+// refuses requests that are pipelined or can be read in two ways.
 func limitBody(next http.Handler, maxBytes int64, timeout time.Duration, now func() time.Time) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(now().Add(timeout)) // fails only without a connection
 			r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
 		}
-		next.ServeHTTP(w, r)
+		switch framing.Check(r.Context()) {
+		case framing.Ambiguous:
+			w.Header().Set("Connection", "close")
+			http.Error(w, "the request can be read in two ways", http.StatusBadRequest)
+		case framing.Unchecked:
+			w.Header().Set("Connection", "close")
+			http.Error(w, "the request was sent before the answer to the previous one", http.StatusServiceUnavailable)
+		default:
+			next.ServeHTTP(w, r)
+		}
 	})
 }
+
+// rejectDatagram counts a datagram to the port for other VMs that is no message.
+func (v *VM) rejectDatagram(now time.Time, from net.Addr) {
+	v.clients.Report.Report(now, "peers", "not_a_message", connlimit.SourceOf(from))
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -183,6 +183,7 @@
 		Rule: costmodel.Rule(s.PickRule), PrefillTokensPerMS: s.PrefillTokensPerMS, DistanceMS: s.DistanceMS, SharedWeight: s.SharedWeight,
 	}})
 	v.brittle = health.NewBrittle(s.Name, v.peerNames)
+	v.clients = clientlimit.New(clientlimit.Options{MemoryMB: s.MemoryMB, Metrics: v.metrics, Log: v.log})
 	if err := v.buildBeacon(); err != nil {
 		return nil, err
 	}
@@ -197,7 +198,6 @@
 		Source: events, Upstreams: v.upstreams, Now: v.opts.Now, FollowShare: v.followShare, Log: v.log,
 	})
 	v.direct = v.directHandlers()
-	v.clients = clientlimit.New(clientlimit.Options{MemoryMB: s.MemoryMB, Metrics: v.metrics, Log: v.log})
 	return v, v.buildServers()
 }
 
@@ -228,7 +228,7 @@
 	v.packetConn = conn
 	v.beacon = beacon.New(beacon.Options{
 		Name: v.settings.Name, Conn: conn, Now: v.opts.Now, Compose: v.composeBeacon, Receive: v.handleBeacon,
-		ReceiveStreams: v.receiveStreams, Serve: v.serveDirect, Log: v.log,
+		ReceiveStreams: v.receiveStreams, Serve: v.serveDirect, Reject: v.rejectDatagram, Log: v.log,
 	})
 	v.addSeeds(v.settings)
 	return nil
--- a/internal/memaccount/memaccount.go
+++ b/internal/memaccount/memaccount.go
@@ -22,6 +22,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -182,7 +183,7 @@
 		}
 		if others.count > 0 && a.largeOf[key].bytes+added > a.perOwner {
 			return func(o *Holding) bool {
-				return o.isLarge() && (o.owner.Source == key.name || o.owner.Organisation == key.name)
+				return o.isLarge() && slices.Contains(o.keys(), key)
 			}
 		}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,10 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
 
+// receiveBuffer limits what is received of a connection before it is read. It allows
+// 200 Mbit/s over a round trip of 10 ms.
+const receiveBuffer = 256 << 10
+
 // Options sets up a Server. All fields but MaxHeaderBytes and Leaving are required.
 type Options struct {
 	Now     func() time.Time
@@ -68,6 +72,7 @@
 	if opts.Leaving != nil {
 		handler = closeIfLeaving(opts.Leaving, handler)
 	}
+	connlimit.LimitReceiveBuffer(inner, receiveBuffer)
 	limited := connlimit.Listener{Listener: inner, Options: connlimit.Options{
 		Name: opts.Name, Now: opts.Now, Times: func() connlimit.Times { return opts.Times }, Table: opts.Connections, Report: opts.Report,
 	}}
@@ -78,8 +83,9 @@
 		},
 	}
 	listener := &quietListener{Listener: checked, now: opts.Now}
-	s := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(rejectUncleanPath))
+	s := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(rejectUnclear, rejectUncleanPath))
 	s.HandlePrefix("/", handler)
+	s.ConnContext = checked.ConnContext
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		listener.trackState(c, state)
 		checked.ConnState(c, state)
@@ -95,6 +101,30 @@
 // resets no connection of a caller.
 func (s *Server) AwaitQuiet(ctx context.Context) { s.listener.awaitQuiet(ctx) }
 
+// pipelinedRetryAfter is the Retry-After of a request that has to come on a connection of
+// its own.
+const pipelinedRetryAfter = 10 * time.Millisecond
+
+// rejectUnclear rejects requests of which it is not certain where they begin and end, and
+// closes their connections.
+func rejectUnclear(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var e *verdict.Error
+		switch framing.Check(r.Context()) {
+		case framing.Ambiguous:
+			e = verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways")
+		case framing.Unchecked:
+			e = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "pipelined", "the request was sent before the answer to the previous one").
+				WithRetryAfter(pipelinedRetryAfter)
+		default:
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		openai.WriteError(w, e)
+	})
+}
+
 // rejectUncleanPath rejects paths for which kratos's router would respond with a
 // redirect. A client may follow a redirect with another method.
 func rejectUncleanPath(next http.Handler) http.Handler {
