--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -31,9 +31,10 @@
 )
 
 const (
-	// MaxHeadBytes and MaxFields are the default limits on a head.
+	// MaxHeadBytes is the default limit on the bytes of a head.
 	MaxHeadBytes = 64 << 10
-	MaxFields    = 100
+	// MaxFields is the default limit on the number of its fields.
+	MaxFields = 100
 	// startLineBytes is what the request line and the line ends may take beside the
 	// fields, like in net/http.
 	startLineBytes = 4 << 10
--- a/internal/standin/badclient/badclient.go
+++ b/internal/standin/badclient/badclient.go
@@ -153,6 +153,18 @@
 		{"pipelined", then("", forever, strings.Repeat("GET "+t.Path+" HTTP/1.1\r\n"+t.Fields+"\r\n", manyRequests), blockPause)},
 		{"slow heads", then("POST "+t.Path+" HTTP/1.1\r\n", forever, "x: y\r\n", 500*time.Millisecond)},
 		{"slow bodies", then(declared, forever, "y", 200*time.Millisecond)},
+		{"slow readers", func(ctx context.Context, c net.Conn) {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(kibibyte) // else the system takes the whole response
+			}
+			write(ctx, c, 1, "GET "+t.Path+" HTTP/1.1\r\n"+t.Fields+"\r\n", 1, 0)
+			var b [1]byte
+			for wait.For(ctx, 200*time.Millisecond) {
+				if _, err := c.Read(b[:]); err != nil {
+					return
+				}
+			}
+		}},
 		{"silent", then("", 0, "", 0)},
 	}
 }
