internal/intake: the response to a body that is too large reaches the caller

Cause: TestRejections (internal/node) failed 2 of 2 times with the limits on connections: the connection was closed at once after the 413 and reset, since http.MaxBytesReader, whose limit lets net/http wait, was used no more.

Change: the limit is signalled to net/http again.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -45,6 +45,7 @@
 		return nil, release, nil
 	}
 	if maxBytes > 0 && r.ContentLength > maxBytes {
+		linger(b.Now(), w, r)
 		return nil, release, tooLarge()
 	}
 	account := b.Account
@@ -69,6 +70,7 @@
 	var tooLong *readlimit.Error
 	switch {
 	case errors.As(err, &tooLong):
+		linger(b.Now(), w, r)
 		return nil, release, tooLarge()
 	case errors.Is(err, memaccount.ErrFull), errors.Is(err, memaccount.ErrEvicted):
 		account.RecordRefused()
@@ -80,6 +82,14 @@
 	return nil, release, verdict.New(verdict.NotRun, http.StatusBadRequest, "body_cut", "the body did not arrive whole").WithCause(err)
 }
 
+// linger makes net/http keep the connection open for a moment after the response to a body
+// that is too large. Closing it at once would reset it, and the caller might not get the
+// response. One byte over a limit of none tells net/http.
+func linger(now time.Time, w http.ResponseWriter, r *http.Request) {
+	Unread(now, w, r)
+	_, _ = http.MaxBytesReader(w, r.Body, 0).Read(make([]byte, 1)) // the error is meant
+}
+
 func tooLarge() *verdict.Error {
 	return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large", "the body is too large")
 }
