--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -35,8 +35,8 @@
 	// PlainTokens is what a request without declared sizes counts if the unit is tokens.
 	PlainTokens uint64
 
-	// tolerance is what may be granted beyond the limit. It is no part of a configuration.
-	tolerance Tolerance
+	// Tolerance is what may be granted beyond the limit. It is no part of a configuration.
+	Tolerance Tolerance `json:"-"`
 }
 
 // Tolerance is what an organisation may get beyond its limit in a window of 8 s: a part of
@@ -50,7 +50,7 @@
 // the limit by less are granted: a refusal costs their callers more than it spares others.
 func (l Limit) WithTolerance(t Tolerance) Limit {
 	if l.Limited() {
-		l.tolerance = t
+		l.Tolerance = t
 	}
 	return l
 }
@@ -115,14 +115,14 @@
 }
 
 func (l Limit) rate() float64 {
-	return float64(l.Rate) * max(rateMargin, 1+rateTolerance*l.tolerance.Over)
+	return float64(l.Rate) * max(rateMargin, 1+rateTolerance*l.Tolerance.Over)
 }
 
-func (l Limit) burst() float64 { return float64(l.Burst) * (1 + burstTolerance*l.tolerance.Over) }
+func (l Limit) burst() float64 { return float64(l.Burst) * (1 + burstTolerance*l.Tolerance.Over) }
 
 // overdraft returns the units by which requests may exceed what is in a bucket.
 func (l Limit) overdraft() float64 {
-	return min(max(overdraft, overdraftTolerance*float64(l.tolerance.Units)), l.burst())
+	return min(max(overdraft, overdraftTolerance*float64(l.Tolerance.Units)), l.burst())
 }
 
 // need returns the level that a bucket with the given share of the fleet must have for a
