cmd/hibiscuscove: the test of misbehaving clients runs alone

The clients of both subtests and the other tests of the package share one process with the race detector. Change: the test and its subtests run one after the other, before the others of the package. Checks and bounds are as they were.

--- a/cmd/hibiscuscove/clients_test.go
+++ b/cmd/hibiscuscove/clients_test.go
@@ -45,8 +45,9 @@
 
 // Guards against clients that hold memory, connections or time of a node of the router's
 // own API: a node of a small VM keeps within its memory and serves its ordinary callers.
+// The clients run in this process and take so much of its time that tests beside it miss what
+// they wait for, so that it runs alone.
 func TestMisbehavingClientsOfNode(t *testing.T) {
-	t.Parallel()
 	for name, test := range map[string]struct {
 		control bool
 		path    string
@@ -55,7 +56,6 @@
 		"control": {true, "/admin/v1/status"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			s := &system{t: t, store: startStandIn(t, "store"), vms: startStandIn(t, "vms"), service: startStandIn(t, "service", "-name", "desk-1")}
 			s.engines = append(s.engines, startStandIn(t, "engine", "-name", "engine-1", "-token_time", "5ms"))
 			n := s.startNodeWith(0, map[string]any{"memory_mb": clientMemoryMB, "max_body_bytes": 4 << 20})
