internal/ingress: requests of disconnected callers are not sent after a stop

Cause: a VM that has been stopped for a while starts many requests at once, and the read of net/http that notices the end of a caller's connection waits behind them.

Change: before a request is sent, the system is asked too whether the peer has ended its sending side (TCP_INFO), so that the order of goroutines no longer matters.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -142,25 +142,40 @@
 // the process may have read later. known is false if the system does not tell: some fill
 // in zeros.
 func ReceivedAgo(ctx context.Context) (ago time.Duration, known bool) {
+	info, ok := tcpInfo(ctx)
+	if !ok || info.Bytes_received == 0 {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// PeerEnded reports whether the system knows that the peer sends nothing more. The
+// server's read that cancels the context of the request may still be waiting for its turn:
+// a process that has been stopped starts all its requests before it has read every end.
+func PeerEnded(ctx context.Context) bool {
+	info, ok := tcpInfo(ctx)
+	return ok && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+}
+
+// tcpInfo returns what the system knows of the connection of a request.
+func tcpInfo(ctx context.Context) (info *unix.TCPInfo, ok bool) {
 	c, found := ctx.Value(connKey{}).(*conn)
 	if !found {
-		return 0, false
+		return nil, false
 	}
 	system, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return nil, false
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return 0, false
+		return nil, false
 	}
+	var infoErr error
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil && info.Bytes_received > 0 {
-			ago, known = time.Duration(info.Last_data_recv)*time.Millisecond, true
-		}
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return ago, known && err == nil
+	return info, err == nil && infoErr == nil
 }
 
 type connKey struct{}
--- a/internal/connend/connend_test.go
+++ b/internal/connend/connend_test.go
@@ -45,6 +45,9 @@
 				if ago, known := connend.ReceivedAgo(r.Context()); known && ago < pause/2 || !known && test.halfOpen {
 					t.Errorf("data received %v ago, known %v, want %v", ago, known, pause)
 				}
+				if !connend.PeerEnded(r.Context()) {
+					t.Error("the system does not know that the peer has ended its sending side")
+				}
 				got <- connend.Of(r.Context())
 			})}
 			go func() { _ = server.Serve(connend.Listener{Listener: l, Now: time.Now}) }()
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -93,11 +93,16 @@
 // checkUnsent returns an error if a request that has not been sent need not be, since
 // its caller has given up.
 func (j *job) checkUnsent() error {
+	ctx := j.r.Context()
+	halfOpen := connend.Of(ctx).IsHalfOpen()
 	if !j.callerEnded() {
-		return nil
+		if !connend.PeerEnded(ctx) {
+			return nil
+		}
+		halfOpen = true
 	}
-	ago, known := connend.ReceivedAgo(j.r.Context())
-	if j.runs+j.rejected == 0 && !j.headSent && connend.Of(j.r.Context()).IsHalfOpen() && known && ago <= maxUnsentAge {
+	ago, known := connend.ReceivedAgo(ctx)
+	if j.runs+j.rejected == 0 && !j.headSent && halfOpen && known && ago <= maxUnsentAge {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeCallerGone, "the caller has disconnected").WithRetryAfter(noUpstreamRetryAfter)
