review/3: VMs lose each other's beacons when prompts have many parts

A beacon carries the prompts sent lately with all their parts, without a limit on its size, and is received into 16 KiB. The script then lets the store turn one VM away for 9 s while a key is dropped: that VM runs requests with the key later than config_apply_ms and skew_max_ms after the confirmation.

--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -72,7 +72,8 @@
 
 // startVMs starts n VMs with the settings of a small deployment and waits until they are
 // ready.
-func startVMs(n int, storeAddress, dir string) ([]*vm, error) {
+func startVMs(storeAddresses []string, dir string) ([]*vm, error) {
+	n := len(storeAddresses)
 	ports, err := freePorts("127.0.77.1", portCount)
 	if err != nil {
 		return nil, err
@@ -85,7 +86,7 @@
 		raw, err := json.Marshal(map[string]any{
 			"name": v.name, "data_centre": zones[i%len(zones)], "ip": v.ip, "callers_listen": v.address(callersPort), "ready_listen": v.address(readyPort),
 			"directory_listen": v.address(directoryPort), "control_listen": v.address(controlPort), "metrics_listen": v.address(metricsPort), "peer_port": ports[peerPort],
-			"seeds": []string{fmt.Sprintf("127.0.77.1:%d", ports[controlPort])}, "store_address": storeAddress, "memory_mb": 284, "link_mbps": 1000,
+			"seeds": []string{fmt.Sprintf("127.0.77.1:%d", ports[controlPort])}, "store_address": storeAddresses[i], "memory_mb": 284, "link_mbps": 1000,
 			"stop_ms": 8000, "drain_ms": 2000, "contact_ms": 3000, "lease_ms": 3000, "version_ms": 15000, "version_total_ms": 21000,
 			"retry_ratio": 0.2, "retry_slack": 56, "retry_window_ms": 10000,
 			"terms": []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants", "platform"},
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -16,7 +16,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "usage: lab CASE RECORD, in the repository's root")
 		os.Exit(2)
 	}
-	cases := map[string]func(*recorder, string, bool) (bool, error){"wall": runWall}
+	cases := map[string]func(*recorder, string, bool) (bool, error){"wall": runWall, "parts": runParts}
 	run, found := cases[os.Args[1]]
 	if !found {
 		_, _ = fmt.Fprintln(os.Stderr, "lab: unknown case "+os.Args[1])
@@ -52,12 +52,18 @@
 	return 0
 }
 
-// serveStore serves the store on a loopback address.
-func serveStore(st *store) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// serveStore serves the store on one loopback address for each VM.
+func serveStore(st *store, vms int) ([]string, error) {
+	var list []string
+	for i := range vms {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		go func() { _ = http.Serve(l, door{st, doorOf(i)}) }() // ends with the process
+		list = append(list, l.Addr().String())
 	}
-	go func() { _ = http.Serve(l, st) }() // ends with the process
-	return l.Addr().String(), nil
+	return list, nil
 }
+
+func doorOf(vm int) string { return fmt.Sprintf("door-%d", vm) }
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -19,6 +19,38 @@
 	history  []storeEvent
 	// changed is closed and replaced with each event.
 	changed chan struct{}
+	// refused holds the doors whose callers get 503.
+	refused map[string]bool
+}
+
+// door is the address of the store for one VM.
+type door struct {
+	store *store
+	name  string
+}
+
+// ServeHTTP implements http.Handler.
+func (d door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.store.refuses(d.name) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.store.serve(w, r, d.name)
+}
+
+func (s *store) refuses(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused[name]
+}
+
+// refuse makes the store turn away the callers of a door, also those that wait, or ends that.
+func (s *store) refuse(name string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[name] = refused
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 type objectMetadata struct {
@@ -40,7 +72,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 10, objects: make(map[string]map[string]object), changed: make(chan struct{})}
+	return &store{revision: 10, objects: make(map[string]map[string]object), changed: make(chan struct{}), refused: make(map[string]bool)}
 }
 
 // put writes an object without a condition, as the operator and the workers do.
@@ -79,13 +111,13 @@
 	s.changed = make(chan struct{})
 }
 
-// ServeHTTP implements http.Handler.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve serves a call that has come through a door.
+func (s *store) serve(w http.ResponseWriter, r *http.Request, through string) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
 	if watch := r.URL.Query().Get("watch"); watch != "" {
 		after, _ := strconv.ParseUint(watch, 10, 64)
 		wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-		s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond)
+		s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond, through)
 		return
 	}
 	var in object
@@ -155,7 +187,7 @@
 }
 
 // watch waits for events of a kind after a revision.
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after uint64, wait time.Duration) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after uint64, wait time.Duration, through string) {
 	end := time.After(wait)
 	for timedOut := false; ; {
 		s.mu.Lock()
@@ -168,8 +200,12 @@
 				page.Events = append(page.Events, e)
 			}
 		}
-		changed := s.changed
+		changed, refused := s.changed, s.refused[through]
 		s.mu.Unlock()
+		if refused {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(page.Events) > 0 || timedOut {
 			reply(w, http.StatusOK, page)
 			return
--- a/review/lab/wall.go
+++ b/review/lab/wall.go
@@ -41,7 +41,7 @@
 // kept parts that are used across the wall later than the bound after the confirmation.
 func runWall(rec *recorder, dir string, trouble bool) (broken bool, err error) {
 	st := newStore()
-	address, err := serveStore(st)
+	addresses, err := serveStore(st, 3)
 	if err != nil {
 		return false, err
 	}
@@ -53,7 +53,7 @@
 			return false, err
 		}
 	}
-	vms, err := startVMs(3, address, dir)
+	vms, err := startVMs(addresses, dir)
 	for _, v := range vms {
 		defer v.kill()
 	}
