--- a/review/lab/wall.go
+++ b/review/lab/wall.go
@@ -21,7 +21,7 @@
 
 // wallConfiguration returns a version of the configuration.
 func wallConfiguration(version int, tenants []tenant) map[string]any {
-	var list []any
+	list := []any{}
 	for _, t := range tenants {
 		list = append(list, map[string]any{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "isolated": t.isolated})
 	}
