--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -47,6 +47,15 @@
 	sequence int
 	active   int
 	changed  chan struct{}
+	// ran holds the IDs of the requests that were run.
+	ran []string
+}
+
+// ids returns the IDs of the requests that were run.
+func (e *engine) ids() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.ran...)
 }
 
 func startEngine(id, service, ip, zone, model string, st *store, rec *recorder) (*engine, error) {
@@ -170,6 +179,7 @@
 func (e *engine) readPrompt(id, tenant, salt string, parts []part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ran = append(e.ran, id)
 	now := time.Now()
 	prefix, kept := "", true
 	for _, p := range parts {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -16,7 +16,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "usage: lab CASE RECORD, in the repository's root")
 		os.Exit(2)
 	}
-	cases := map[string]func(*recorder, string, bool) (bool, error){"wall": runWall, "parts": runParts, "empty": runEmpty, "number": runNumber}
+	cases := map[string]func(*recorder, string, bool) (bool, error){"wall": runWall, "parts": runParts, "number": runNumber, "smuggle": runSmuggle}
 	run, found := cases[os.Args[1]]
 	if !found {
 		_, _ = fmt.Fprintln(os.Stderr, "lab: unknown case "+os.Args[1])
