--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +40,14 @@
 		return 2
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		killStarted()
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	rec := &recorder{out: out, start: time.Now()}
 	broken, err := run(rec, dir, os.Getenv("TROUBLE") != "0")
 	switch {
--- a/review/lab/parts.go
+++ b/review/lab/parts.go
@@ -19,8 +19,8 @@
 	// at most (`skew_max_ms`).
 	outerStretch = 5000 * time.Millisecond
 	refusal      = 9 * time.Second
-	// streamsPerS is about the rate of streams of plegado-cove.
-	streamsPerS = 107
+	// streamsPerS is about the rate of streams of sccia-cove.
+	streamsPerS = 130
 )
 
 // runParts lets the store turn one VM of three away while a key is taken away. The other VMs
@@ -40,7 +40,7 @@
 	st.put("config", "main", wallConfiguration(1, []tenant{keep, gone}))
 	st.put("versions", "m0", map[string]any{"model": "m0", "version": 1})
 	for i := range 4 {
-		if _, err := startEngine(fmt.Sprintf("i-lm%d", i), "lm", "127.0.0.1", "sur-a", "m0", st, rec); err != nil {
+		if _, err := startEngine(fmt.Sprintf("i-lm%d", i), "lm", "127.0.0.1", "durban-a", "m0", st, rec); err != nil {
 			return false, err
 		}
 	}
--- a/review/lab/wall.go
+++ b/review/lab/wall.go
@@ -48,7 +48,7 @@
 	tenants := []tenant{{"north", "key-north", false}, {"south", "key-south", false}, {"east", "key-east", true}}
 	st.put("config", "main", wallConfiguration(1, tenants))
 	st.put("versions", "m0", map[string]any{"model": "m0", "version": 1})
-	for i, zone := range []string{"sur-a", "sur-b", "sur-c"} {
+	for i, zone := range []string{"durban-a", "durban-b", "capetown-a"} {
 		if _, err := startEngine(fmt.Sprintf("i-lm%d", i), "lm", "127.0.0.1", zone, "m0", st, rec); err != nil {
 			return false, err
 		}
