--- a/review/kit/bounds.go
+++ b/review/kit/bounds.go
@@ -11,7 +11,7 @@
 func playBounds(l *lab) {
 	const (
 		interval = 50 * time.Millisecond
-		recover  = 12 * time.Second
+		recoverS = 12 * time.Second
 	)
 	l.store.put("config", "main", configuration(7))
 	for i := range 2 {
@@ -34,7 +34,9 @@
 		for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(interval) {
 			n++
 			sent++
-			go func() { answers <- l.send(l.vms[n%2].ip+":8782", lookRequest(fmt.Sprintf("q%04d", n))) }()
+			go func() {
+				answers <- l.send(fmt.Sprint(l.vms[n%2].ip, ":", portCallers), lookRequest(fmt.Sprintf("q%04d", n)))
+			}()
 		}
 		for range sent {
 			if a := <-answers; a.status == 200 && a.whole && a.signed {
@@ -70,7 +72,7 @@
 			}
 		}
 	}
-	time.Sleep(recover)
+	time.Sleep(recoverS)
 	for _, v := range l.vms {
 		if !v.running() {
 			v.start()
@@ -78,7 +80,7 @@
 	}
 	time.Sleep(time.Second)
 	sentAfter, servedAfter := load(3 * time.Second)
-	l.record("served: %d of %d before, %d of %d after the change, %d of %d later than %v after the VMs were started again", servedBefore, sentBefore, servedChanged, sentChanged, servedAfter, sentAfter, recover)
+	l.record("served: %d of %d before, %d of %d after the change, %d of %d later than %v after the VMs were started again", servedBefore, sentBefore, servedChanged, sentChanged, servedAfter, sentAfter, recoverS)
 	if 4*servedBefore < sentBefore {
 		l.cannot("too little is served before")
 	}
--- a/review/kit/lab.go
+++ b/review/kit/lab.go
@@ -6,16 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,21 +28,8 @@
 	store   *store
 	address string
 	vms     []*vm
-	// loading is the number of workers that load weights.
-	loading atomic.Int64
-
 	mu      sync.Mutex
 	out     *os.File
-	runs    []run
-	answers []answer
-	named   int64
-}
-
-// run is a request that a worker began to work on.
-type run struct {
-	id, worker, tenant, target, body string
-	version                          int64
-	at                               time.Time
 }
 
 // answer is what a caller got.
@@ -63,7 +49,6 @@
 	bounds   map[string]any
 	file     string
 	cmd      *exec.Cmd
-	log      *os.File
 	done     chan struct{}
 }
 
@@ -79,9 +64,15 @@
 		os.Exit(2)
 	}
 	l := &lab{
-		trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), out: out, folder: temporary, store: newStore(), named: 1,
-		prefix: fmt.Sprintf("127.%d.%d.", 60+rand.IntN(150), 1+rand.IntN(250)),
+		trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), out: out, folder: temporary, store: newStore(),
+		prefix: freePrefix(),
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		l.cannot("ended early")
+	}()
 	listener, err := net.Listen("tcp", l.ip(250)+":0")
 	if err != nil {
 		l.cannot("store: %v", err)
@@ -91,6 +82,38 @@
 	return l
 }
 
+// The ports of a VM, on an address of its own.
+const (
+	portDirectory = 8780
+	portCallers   = 8782
+	portControl   = 8783
+	portReady     = 8789
+	portMetrics   = 9464
+	portPeers     = 7340
+)
+
+// freePrefix returns the first three bytes of loopback addresses at which the ports of the
+// VMs are free.
+func freePrefix() string {
+	for {
+		prefix := fmt.Sprintf("127.%d.%d.", 60+rand.IntN(150), 1+rand.IntN(250))
+		free := true
+		for n := range 3 {
+			for _, port := range []int{portDirectory, portCallers, portControl, portReady, portMetrics} {
+				listener, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", prefix, n+1, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = listener.Close()
+			}
+		}
+		if free {
+			return prefix
+		}
+	}
+}
+
 func (l *lab) ip(n int) string { return fmt.Sprint(l.prefix, n) }
 
 // record writes a line of the record, with the time since the start.
@@ -100,29 +123,6 @@
 	_, _ = fmt.Fprintf(l.out, "%8.3f %s\n", time.Since(l.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (l *lab) recordRun(r run) {
-	l.mu.Lock()
-	l.runs = append(l.runs, r)
-	l.mu.Unlock()
-	l.record("run     %s at %s version %d tenant %q %s", r.id, r.worker, r.version, r.tenant, r.target)
-}
-
-func (l *lab) namedVersion() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.named
-}
-
-// nameVersion names new weights and returns when the store has confirmed that.
-func (l *lab) nameVersion(model string, version int64) time.Time {
-	l.mu.Lock()
-	l.named = version
-	l.mu.Unlock()
-	at := l.store.put("versions", model, map[string]any{"model": model, "version": version})
-	l.record("operator names version %d of %s", version, model)
-	return at
-}
-
 // cannot ends a play that could not run.
 func (l *lab) cannot(format string, args ...any) {
 	l.record("could not run: "+format, args...)
@@ -168,18 +168,20 @@
 	}
 	var seeds []any
 	for _, other := range v.lab.vms[:min(3, len(v.lab.vms))] {
-		seeds = append(seeds, other.ip+":8783")
+		seeds = append(seeds, other.ip+fmt.Sprintf(":%d", portControl))
 	}
 	fields := map[string]any{
 		"node": v.name, "role": "entry", "machine_class": "edge", "serves": []any{"edge", "control_plane", "directory"}, "ip": v.ip,
-		"zone": "sur-a", "region": "uy-sur", "port_range": []any{7340, 7355}, "seeds": seeds, "bootstrap": true, "fault_counted": false,
+		"zone": "sur-a", "region": "uy-sur", "port_range": []any{portPeers, portPeers + 15}, "seeds": seeds, "bootstrap": true, "fault_counted": false,
 		"discovery": "platform", "entry": "directory", "heartbeat_ms": 1200,
 		"contracts": []any{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants", "platform"},
 		"zones":     map[string]any{"sur-a": "uy-sur"},
-		"listen":    map[string]any{"front": v.ip + ":8782", "ready": v.ip + ":8789", "control": v.ip + ":8783", "directory": v.ip + ":8780"},
-		"limits":    map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000, "disk_mb": 0},
-		"bounds":    v.bounds,
-		"platform":  map[string]any{"address": v.lab.address, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
+		"listen": map[string]any{
+			"front": fmt.Sprint(v.ip, ":", portCallers), "ready": fmt.Sprint(v.ip, ":", portReady), "control": fmt.Sprint(v.ip, ":", portControl), "directory": fmt.Sprint(v.ip, ":", portDirectory),
+		},
+		"limits":   map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000, "disk_mb": 0},
+		"bounds":   v.bounds,
+		"platform": map[string]any{"address": v.lab.address, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
 	}
 	// Figures are as in JSON: whole numbers without a fraction.
 	raw, _ := json.Marshal(fields)
@@ -211,6 +213,11 @@
 	go func() {
 		_ = cmd.Wait()
 		v.lab.record("vm      %s has ended: %s", v.name, cmd.ProcessState)
+		if cmd.ProcessState.ExitCode() > 0 {
+			raw, _ := os.ReadFile(v.file + ".log")
+			lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+			v.lab.record("vm      %s said: %s", v.name, lines[len(lines)-1])
+		}
 		close(done)
 	}()
 }
@@ -237,16 +244,12 @@
 	_ = v.cmd.Process.Signal(syscall.SIGCONT)
 	_ = v.cmd.Process.Kill()
 	<-v.done
-	if os.Getenv("KEEP") != "" {
-		raw, _ := os.ReadFile(v.file + ".log")
-		_ = os.WriteFile(filepath.Join(os.Getenv("KEEP"), v.name+".log"), raw, 0o600)
-	}
 }
 
 // isReady asks the VM at its ready address, as the platform does.
 func (v *vm) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + v.ip + ":8789/api/ready")
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/api/ready", v.ip, portReady))
 	if err != nil {
 		return false
 	}
@@ -308,9 +311,6 @@
 		text = strings.TrimSpace(a.body)
 	}
 	l.record("answer  %s: %d signed %v whole %v %s", q.id, a.status, a.signed, a.whole, text)
-	l.mu.Lock()
-	l.answers = append(l.answers, a)
-	l.mu.Unlock()
 	return a
 }
 
@@ -319,14 +319,10 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			map[string]any{"name": "r-read", "hostname": "lm.example", "path_prefix": "/read/", "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 400, "priority": 0, "backend": "lm-fleet", "max_attempts": 1, "public": false, "session_affinity": true, "resumable": false, "gap_target_ms": 300},
 			map[string]any{"name": "r-book", "hostname": "app.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 600, "target_latency_ms": 100, "priority": 2, "backend": "plant-app", "max_attempts": 1, "public": false},
 			map[string]any{"name": "r-look", "hostname": "app.example", "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": 600, "target_latency_ms": 100, "priority": 2, "backend": "plant-app", "max_attempts": 2, "public": false},
 		},
 		"services": []any{
-			map[string]any{"name": "lm-fleet", "health_check": "/healthz", "max_connections": 620, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 48, "kv_capacity_tokens": 143148, "kv_token_bytes": 35136, "link_mbps": 740000.0, "moves": true, "backups": true, "stride": 4, "max_in_flight": 12,
-				"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m0"}}}},
 			map[string]any{"name": "plant-app", "health_check": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -337,19 +333,7 @@
 	}
 }
 
-// readRequest returns a request for a stream.
-func readRequest(id string) request {
-	return request{id: id, method: http.MethodPost, host: "lm.example", path: "/read/x", body: "prompt of " + id, timeLeft: 15 * time.Second, header: map[string]string{
-		"Credential": "k-one", "Model": "m0", "Token-Count": "826,50", "Prompt-Prefix": fmt.Sprintf("a1:198,%x:628", id)}}
-}
-
-func bookRequest(id string) request {
-	return request{id: id, method: http.MethodPost, host: "app.example", path: "/book/x", body: "order " + id, timeLeft: 600 * time.Millisecond, header: map[string]string{"Credential": "k-one"}}
-}
-
+// lookRequest returns a request that may be repeated.
 func lookRequest(id string) request {
 	return request{id: id, method: http.MethodGet, host: "app.example", path: "/look/" + id, timeLeft: 600 * time.Millisecond, header: map[string]string{"Credential": "k-one"}}
 }
-
-// clone copies a configuration.
-func clone(m map[string]any) map[string]any { return maps.Clone(m) }
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -38,11 +38,10 @@
 	kinds    map[string]map[string]object
 	history  []event
 	changed  chan struct{}
-	cut      chan struct{}
 }
 
 func newStore() *store {
-	return &store{revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{}), cut: make(chan struct{})}
+	return &store{revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 }
 
 // put writes an object as the operator or a worker does, and returns when that was
@@ -81,27 +80,6 @@
 	s.changed = make(chan struct{})
 }
 
-// remove deletes an object.
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, found := s.kinds[kind][name]
-	if !found {
-		return
-	}
-	delete(s.kinds[kind], name)
-	s.revision++
-	s.record(event{Deleted: true, Object: o, kind: kind, revision: s.revision})
-}
-
-// cutWatches cuts off all watches that wait at this moment.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path, found := strings.CutPrefix(r.URL.Path, "/api/objects/")
@@ -169,7 +147,7 @@
 				events = append(events, e)
 			}
 		}
-		changed, cut, revision := s.changed, s.cut, s.revision
+		changed, revision := s.changed, s.revision
 		s.mu.Unlock()
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
@@ -177,8 +155,6 @@
 		}
 		select {
 		case <-changed:
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		case <-end:
--- a/review/lab/smuggle.go
+++ b/review/lab/smuggle.go
@@ -27,7 +27,7 @@
 	st.put("versions", "m0", map[string]any{"model": "m0", "version": 1})
 	var engines []*engine
 	for i := range 3 {
-		e, err := startEngine(fmt.Sprintf("i-lm%d", i), "lm", "127.0.0.1", "durban-a", "m0", st, rec)
+		e, err := startEngine(fmt.Sprintf("i-lm%d", i), "lm", "127.0.0.1", "sur-a", "m0", st, rec)
 		if err != nil {
 			return false, err
 		}
