internal/rollout: orders wait only for the engines that the lost leader could order

Cause: three waits in a row, each begun anew by each leader: 1.2 s + 1.8 s until the lease of a lost leader is taken, 3.3 s before the first order to any engine, 2.5 s until engines have finished their requests. The lease did not say which engines its holder orders, so that all of them waited for what one might have got.

Change: the lease names its targets, orders go only to targets of the stored lease, and a new holder waits for those alone. They stay in its own lease for the handover delay, after a release and a restart too. Beacons carry the last renewal, so that the time for which the lease stands unchanged counts from there. After a holder that was lost the first orders do not wait for requests to end.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -76,15 +76,13 @@
 		m.Retained = c.Version()
 	}
 	m.LastFence = v.elector.Fence()
-	if v.elector.Holds(now) {
-		m.Leading = m.LastFence
+	if fence, renewal := v.elector.Held(now); fence > 0 {
+		m.Leading = fence
 		m.Loading = v.rollout.Changing()
+		v.leaders.RecordLeading(now, leader.Leading{Name: m.Name, Fence: fence, Renewal: renewal})
 	} else if m.LastFence > 0 {
 		v.leaders.RecordLetGo(now, leader.LetGo{Holder: m.Name, Incarnation: m.Incarnation, Fence: m.LastFence, Lost: v.elector.Lost()})
 	}
-	if m.Leading > 0 {
-		v.leaders.RecordLeading(now, leader.Leading{Name: m.Name, Fence: m.Leading})
-	}
 	m.LetGo, m.Leader = v.leaders.LetGo(now), v.leaders.Leading(now)
 	if m.Leading > 0 || v.upstreams.PartialView() {
 		// In a small fleet every VM receives this directly from the VM that changes
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -269,8 +269,10 @@
 		SteppedDown:      v.steppedDown,
 		DesiredAges:      v.upstreams.DesiredAges,
 		MergeDesiredAges: v.mergeDesiredAges,
+		Targets:          func(now time.Time) []string { return v.rollout.Targets(now) },
+		LastRenewal:      v.leaders.LastRenewal,
 		OnRead: func(now time.Time, l rollout.Lease) {
-			v.leaders.RecordLeading(now, leader.Leading{Name: l.Holder, Fence: l.Fence})
+			v.leaders.RecordLeading(now, leader.Leading{Name: l.Holder, Fence: l.Fence, Renewal: l.Renewal})
 		},
 		Log: v.log,
 	})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -44,6 +44,9 @@
 type Leading struct {
 	Name  string `json:"name" cbor:"1,keyasint"`
 	Fence uint64 `json:"fence" cbor:"2,keyasint"`
+	// Renewal is the last renewal of the lease that the store confirmed, or 0 if the
+	// sender does not know it.
+	Renewal uint64 `json:"renewal,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Tracker holds what one VM knows of the leaders.
@@ -51,7 +54,8 @@
 	name string
 
 	mu sync.Mutex
-	// leading is the one with the highest fence, learnt at leadingAt.
+	// leading is the one with the highest fence and, of those, the last renewal, learnt
+	// at leadingAt.
 	leading   Leading
 	leadingAt time.Time
 	// letGo is the one with the highest fence, learnt at letGoAt.
@@ -66,11 +70,22 @@
 func (t *Tracker) RecordLeading(now time.Time, l Leading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.Name != "" && l.Fence > t.leading.Fence {
+	if l.Name != "" && (l.Fence > t.leading.Fence || l.Fence == t.leading.Fence && l.Renewal > t.leading.Renewal) {
 		t.leading, t.leadingAt = l, now
 	}
 }
 
+// LastRenewal returns the last known renewal of the lease with a fence, and when this VM
+// first heard of it. It returns a zero time if none is known.
+func (t *Tracker) LastRenewal(fence uint64) (renewal uint64, heardAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if fence != t.leading.Fence || t.leading.Renewal == 0 {
+		return 0, time.Time{}
+	}
+	return t.leading.Renewal, t.leadingAt
+}
+
 // Leading returns the last leader for this VM's peers, or nil if it has been known for long.
 func (t *Tracker) Leading(now time.Time) *Leading {
 	t.mu.Lock()
--- a/internal/rollout/change.go
+++ b/internal/rollout/change.go
@@ -25,16 +25,16 @@
 		desired, _ := r.opts.Upstreams.Desired(u.Model)
 		r.opts.Upstreams.RecordAnnouncement(now, u.ID, desired)
 		age := now.Sub(start)
-		if r.stopping.Load() && r.acquireSlot() {
+		if r.stopping.Load() && r.acquireSlot(u.ID) {
 			// This VM is stopping. The engine gets its order at once, even with
 			// requests left, which it finishes first. So it changes while the
 			// next VM takes over the lease.
 			return nil
 		}
-		if age < AnnounceLead || age < DrainTimeout && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 {
+		if age < AnnounceLead || age < DrainTimeout && r.opts.Upstreams.TotalLoad(now)[u.ID].Requests > 0 && !r.hurried() {
 			continue
 		}
-		if r.acquireSlot() {
+		if r.acquireSlot(u.ID) {
 			return nil
 		}
 	}
@@ -42,22 +42,63 @@
 
 // acquireSlot takes one of the slots for engines that load at the same time. A
 // VM that is stopping takes one even if none is free.
-func (r *Rollout) acquireSlot() bool {
+func (r *Rollout) acquireSlot(id string) bool {
 	maxLoading := MaxLoading(r.engineCount())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.loading >= maxLoading && !r.stopping.Load() {
+	if len(r.loading) >= maxLoading && !r.stopping.Load() {
 		return false
 	}
-	r.loading++
+	r.loading[id] = true
 	return true
 }
 
 // releaseSlot frees the slot of an engine.
-func (r *Rollout) releaseSlot() {
+func (r *Rollout) releaseSlot(id string) {
+	now := r.opts.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.loading, id)
+	r.loadedAt[id] = now
+}
+
+// hurried reports whether engines get their orders with requests left: the holder before
+// was lost, and what an engine has taken is not lost if this VM is lost as well.
+func (r *Rollout) hurried() bool {
+	if !r.opts.Elector.Interrupted() {
+		return false
+	}
+	maxLoading, fence := MaxLoading(r.engineCount()), r.opts.Elector.Fence()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordersFence != fence || r.ordersSent < maxLoading
+}
+
+// recordOrder counts an order that is about to be sent.
+func (r *Rollout) recordOrder(fence uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.loading--
+	if r.ordersFence != fence {
+		r.ordersFence, r.ordersSent = fence, 0
+	}
+	r.ordersSent++
+}
+
+// awaitTarget waits until the stored lease has the engine as a target, and returns the
+// lease's fence.
+func (r *Rollout) awaitTarget(ctx context.Context, id string) (fence uint64, err error) {
+	for {
+		now := r.opts.Clock.Now()
+		if fence, may := r.opts.Elector.MayOrder(now, id); may {
+			return fence, nil
+		}
+		if _, may := r.opts.Elector.MaySend(now); !may || r.opts.Elector.InHandover(now, id, false) {
+			return 0, errNotHeld
+		}
+		if !wait.For(ctx, targetInterval) {
+			return 0, ctx.Err()
+		}
+	}
 }
 
 // changeEngine brings one engine up to date. After a failure or changeTimeout
@@ -91,7 +132,7 @@
 	if err := r.awaitSlot(ctx, u); err != nil {
 		return err
 	}
-	defer r.releaseSlot()
+	defer r.releaseSlot(u.ID)
 	if r.stopping.Load() {
 		return r.sendLastOrder(ctx, u)
 	}
@@ -145,13 +186,14 @@
 // sendOrder sends one order. An order whose outcome is unknown is no error: the
 // engine's next reports show whether it took effect.
 func (r *Rollout) sendOrder(ctx context.Context, u roster.Upstream, version, expected int64) error {
+	fence, err := r.awaitTarget(ctx, u.ID)
+	if err != nil {
+		return err
+	}
+	r.recordOrder(fence)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	fence, may := r.opts.Elector.MaySend(r.opts.Clock.Now())
-	if !may {
-		return errNotHeld
-	}
-	err := r.opts.Engines.LoadWeights(ctx, Order{Upstream: u, Version: version, Holder: r.opts.Holder, Fence: fence, Expected: expected})
+	err = r.opts.Engines.LoadWeights(ctx, Order{Upstream: u, Version: version, Holder: r.opts.Holder, Fence: fence, Expected: expected})
 	r.opts.Log.Info().Str("upstream", u.ID).Int64("version", version).Int64("expected", expected).Uint64("fence", fence).
 		AnErr("error", err).Msg("order given")
 	if errors.Is(err, ErrDeclined) || errors.Is(err, ErrFenced) {
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -37,6 +37,11 @@
 	// while no other VM runs read them.
 	Desired   []roster.DesiredAge `json:"named,omitempty"`
 	WrittenMS int64               `json:"written_ms,omitempty"`
+	// Targets holds the IDs of the engines that may get an order under this lease
+	// until the next write, or may have got one so recently that another VM must not
+	// order them yet. It is nil if the writer is of a build that does not record them:
+	// then it may be any engine.
+	Targets []string `json:"targets"`
 	// Revision is the object's revision in the store, or 0 if it is not stored yet.
 	Revision uint64 `json:"-"`
 	// ReadEra is the store's era in the response that held the lease.
@@ -81,7 +86,7 @@
 	Boot func() time.Duration
 }
 
-// ElectorOptions sets up an Elector. All but Log are required.
+// ElectorOptions sets up an Elector. All but LastRenewal, OnRead and Log are required.
 type ElectorOptions struct {
 	Store       LeaseStore
 	Clock       Clock
@@ -97,6 +102,13 @@
 	// lease is replaced.
 	DesiredAges      func(now time.Time) []roster.DesiredAge
 	MergeDesiredAges func(now time.Time, ages []roster.DesiredAge)
+	// Targets returns the engines to which this VM is about to send an order, and
+	// those to which it may have sent one within HandoverPeriod.
+	Targets func(now time.Time) []string
+	// LastRenewal, if it is set, returns the last renewal of the lease with a fence
+	// that peers have reported, and when this VM first heard of it. It returns a
+	// zero time if there is none.
+	LastRenewal func(fence uint64) (renewal uint64, heardAt time.Time)
 	// OnRead, if it is set, is called with each lease that was read from the store.
 	OnRead func(now time.Time, l Lease)
 	Log    zerolog.Logger
@@ -132,9 +144,21 @@
 	// was sent, by both clocks.
 	renewedAt   time.Time
 	renewedBoot time.Duration
+	takeoverTerms
+}
+
+// takeoverTerms are the terms under which a VM took over the lease.
+type takeoverTerms struct {
 	// ordersFrom is when the first order may be sent. handoverEnd is when the
 	// first one may be sent to an engine that the previous holder was changing.
 	ordersFrom, handoverEnd time.Time
+	// inherited holds the targets of the lease that was replaced, and is nil if it recorded
+	// none. They stay targets until
+	// inheritedUntil, so that the next holder waits for them as well.
+	inherited      []string
+	inheritedUntil time.Time
+	// interrupted is set if the previous holder did not release its lease.
+	interrupted bool
 }
 
 // NewElector returns an Elector that does not hold the lease.
@@ -151,6 +175,40 @@
 	return e.lease.Fence, true
 }
 
+// MayOrder reports whether this VM may send an order to an engine at this moment, and
+// with which fence. The engine must be a target of the stored lease, so that the next
+// holder knows that it may have got an order.
+func (e *Elector) MayOrder(now time.Time, engine string) (fence uint64, may bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.valid(now) || now.Before(e.ordersFrom) || !slices.Contains(e.lease.Targets, engine) ||
+		now.Before(e.handoverEnd) && slices.Contains(e.inherited, engine) {
+		return 0, false
+	}
+	return e.lease.Fence, true
+}
+
+// InHandover reports whether the previous holder may have sent an order to an engine
+// so recently that this VM must still wait. announced tells whether a peer has announced
+// that it changes the engine, which counts if the previous holder recorded no targets.
+func (e *Elector) InHandover(now time.Time, engine string, announced bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.handoverEnd) && (slices.Contains(e.inherited, engine) || announced && e.inherited == nil)
+}
+
+// Interrupted reports whether the holder before this VM did not release its lease: it
+// failed, or could not renew the lease.
+func (e *Elector) Interrupted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.interrupted
+}
+
+// HandoverPeriod is the time between the last order that a holder may have sent to an
+// engine and the first one of the next holder.
+func (e *Elector) HandoverPeriod() time.Duration { return e.opts.HandoverDelay + handoverMargin }
+
 // HandoverEnd returns when the first order may be sent to an engine that the
 // previous holder was changing.
 func (e *Elector) HandoverEnd() time.Time {
@@ -167,6 +225,17 @@
 	return e.valid(now)
 }
 
+// Held returns the fence and the last confirmed renewal of the lease if this VM holds it,
+// and zeros otherwise.
+func (e *Elector) Held(now time.Time) (fence, renewal uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.valid(now) {
+		return 0, 0
+	}
+	return e.lease.Fence, e.lease.Renewal
+}
+
 // valid reports whether the lease is held, the store has not come back from a copy
 // since, and the term has not ended by either clock: the monotonic one stands still
 // while the VM is suspended. The caller holds the lock.
@@ -192,8 +261,8 @@
 	return e.lease.Fence
 }
 
-// Acquire renews the lease if it is held and due for renewal, and takes it over
-// if it is free. A lease that another VM holds is no error: check with Holds.
+// Acquire renews the lease if it is held and due for renewal or lacks a target, and
+// takes it over if it is free. A lease that another VM holds is no error: check with Holds.
 func (e *Elector) Acquire(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
@@ -208,14 +277,20 @@
 	}
 	held, lease, due := e.held, e.lease, now.Sub(e.renewedAt) >= renewInterval
 	e.mu.Unlock()
-	if held {
-		if !due {
-			return nil
-		}
-		lease.Renewal++
-		return e.writeLease(ctx, lease, time.Time{}, time.Time{})
+	if !held {
+		return e.takeOver(ctx)
+	}
+	if !due && !e.lacksTarget(now, lease) {
+		return nil
 	}
-	return e.takeOver(ctx)
+	lease.Renewal++
+	return e.writeLease(ctx, lease, takeoverTerms{})
+}
+
+// lacksTarget reports whether an engine to which this VM is about to send an order is no
+// target of the lease.
+func (e *Elector) lacksTarget(now time.Time, l Lease) bool {
+	return slices.ContainsFunc(e.opts.Targets(now), func(id string) bool { return !slices.Contains(l.Targets, id) })
 }
 
 // takeOver reads the lease and takes it over if it was released, its holder has
@@ -227,9 +302,10 @@
 		ordersFrom, era := now, e.opts.Store.Era()
 		if era > 0 {
 			// The copy may lack the lease of a VM that still holds it.
-			ordersFrom = now.Add(leaseTerm + e.opts.HandoverDelay + handoverMargin)
+			ordersFrom = now.Add(leaseTerm + e.HandoverPeriod())
 		}
-		return e.writeLease(ctx, Lease{Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Era: era, Fence: nextFence(era, Lease{})}, ordersFrom, ordersFrom)
+		return e.writeLease(ctx, Lease{Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Era: era, Fence: nextFence(era, Lease{})},
+			takeoverTerms{ordersFrom: ordersFrom, handoverEnd: ordersFrom})
 	}
 	if err != nil {
 		return fmt.Errorf("rollout: read lease: %w", err)
@@ -238,37 +314,47 @@
 	if e.opts.OnRead != nil {
 		e.opts.OnRead(now, found)
 	}
+	// What a copy says of its holder may have changed after the copy was made.
+	copied := found.Era != found.ReadEra
 	e.mu.Lock()
 	if found.Revision != e.lease.Revision || found.ReadEra != e.lease.ReadEra || e.unchangedSince.IsZero() {
 		e.lease = found
 		e.unchangedSince = now
+		if e.opts.LastRenewal != nil && !copied {
+			// The store had this renewal already when a peer reported it.
+			if renewal, heardAt := e.opts.LastRenewal(found.Fence); renewal == found.Renewal && !heardAt.IsZero() && heardAt.Before(now) {
+				e.unchangedSince = heardAt
+			}
+		}
 	}
 	unchanged := now.Sub(e.unchangedSince)
 	e.mu.Unlock()
-	// What a copy says of its holder may have changed after the copy was made.
-	copied := found.Era != found.ReadEra
 	sameHolder := !copied && found.Holder == e.opts.Holder
 	free := !copied && (found.Released || e.opts.SteppedDown(found.Holder, found.Incarnation, found.Fence))
 	if !sameHolder && !free && unchanged < leaseTerm+handoverMargin {
 		return nil
 	}
-	ordersFrom := now.Add(time.Duration(found.OrdersInMS) * time.Millisecond)
-	handoverEnd := now.Add(time.Duration(found.HandoverInMS) * time.Millisecond)
+	terms := takeoverTerms{
+		ordersFrom:     now.Add(time.Duration(found.OrdersInMS) * time.Millisecond),
+		handoverEnd:    now.Add(time.Duration(found.HandoverInMS) * time.Millisecond),
+		inherited:      found.Targets,
+		inheritedUntil: now.Add(e.HandoverPeriod()),
+		interrupted:    !found.Released,
+	}
 	if !sameHolder {
-		ordersFrom = now
-		// The previous holder may have sent an order until just now. One that
-		// released the lease or stepped down has announced the engines to which
-		// it sent orders, so that only those have to wait.
-		handoverEnd = now.Add(e.opts.HandoverDelay + handoverMargin)
-		if !free {
-			ordersFrom = handoverEnd
+		// The previous holder may have sent an order to a target until just now.
+		terms.handoverEnd = terms.inheritedUntil
+		if !free && (copied || found.Targets == nil) {
+			// It is not known to which engines. A VM of a build that records no targets
+			// announces them when it steps down or releases the lease.
+			terms.ordersFrom = terms.handoverEnd
 		}
 	}
 	next := Lease{
 		Holder: e.opts.Holder, Incarnation: e.opts.Incarnation, Revision: found.Revision, Era: found.ReadEra,
 		Fence: nextFence(found.ReadEra, found), Renewal: found.Renewal + 1,
 	}
-	return e.writeLease(ctx, next, ordersFrom, handoverEnd)
+	return e.writeLease(ctx, next, terms)
 }
 
 // fenceEraBits is the number of bits of a fence below the era.
@@ -285,17 +371,18 @@
 	return max(found.Fence, era<<fenceEraBits+found.Revision) + 1
 }
 
-// writeLease stores the lease. ordersFrom and handoverEnd take effect only if
-// the lease was not held before.
-func (e *Elector) writeLease(ctx context.Context, l Lease, ordersFrom, handoverEnd time.Time) error {
+// writeLease stores the lease. terms take effect only if the lease was not held
+// before.
+func (e *Elector) writeLease(ctx context.Context, l Lease, terms takeoverTerms) error {
 	now, boot := e.opts.Clock.Now(), e.opts.Clock.Boot()
 	e.mu.Lock()
 	if e.held {
-		ordersFrom, handoverEnd = e.ordersFrom, e.handoverEnd
+		terms = e.takeoverTerms
 	}
 	e.mu.Unlock()
-	l.OrdersInMS = max(0, ordersFrom.Sub(now)).Milliseconds()
-	l.HandoverInMS = max(0, handoverEnd.Sub(now)).Milliseconds()
+	l.OrdersInMS = max(0, terms.ordersFrom.Sub(now)).Milliseconds()
+	l.HandoverInMS = max(0, terms.handoverEnd.Sub(now)).Milliseconds()
+	l.Targets = e.targets(now, terms)
 	l.Released = false
 	l.Desired, l.WrittenMS = e.opts.DesiredAges(now), now.UnixMilli()
 	written, err := e.opts.Store.Write(ctx, l)
@@ -323,9 +410,8 @@
 		return nil
 	}
 	if !e.held {
-		e.opts.Log.Info().Uint64("fence", written.Fence).Time("opens", ordersFrom).Msg("lease taken")
-		e.ordersFrom = ordersFrom
-		e.handoverEnd = handoverEnd
+		e.opts.Log.Info().Uint64("fence", written.Fence).Time("opens", terms.ordersFrom).Strs("in_handover", terms.inherited).Bool("interrupted", terms.interrupted).Msg("lease taken")
+		e.takeoverTerms = terms
 	}
 	e.held, e.lost = true, false
 	e.lease = written
@@ -335,6 +421,16 @@
 	return nil
 }
 
+// targets returns the targets of a lease that is written at now.
+func (e *Elector) targets(now time.Time, terms takeoverTerms) []string {
+	list := slices.Clone(e.opts.Targets(now))
+	if now.Before(terms.inheritedUntil) {
+		list = append(list, terms.inherited...)
+	}
+	slices.Sort(list)
+	return append([]string{}, slices.Compact(list)...)
+}
+
 // markLost records that the lease is no longer held. The next one needs a new
 // fence. The caller holds the lock.
 func (e *Elector) markLost(now time.Time, reason string) {
@@ -349,13 +445,16 @@
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	e.mu.Lock()
-	held, lease := e.held, e.lease
+	held, lease, terms := e.held, e.lease, e.takeoverTerms
 	e.held = false
 	e.unchangedSince = time.Time{}
 	e.mu.Unlock()
 	if !held || lease.Era != e.opts.Store.Era() {
 		return nil
 	}
+	now := e.opts.Clock.Now()
+	lease.OrdersInMS = max(0, terms.ordersFrom.Sub(now)).Milliseconds()
+	lease.Targets = e.targets(now, terms)
 	lease.Released = true
 	lease.Renewal++
 	if _, err := e.opts.Store.Write(ctx, lease); err != nil {
--- a/internal/rollout/letgo_test.go
+++ b/internal/rollout/letgo_test.go
@@ -28,7 +28,7 @@
 			electors[i] = rollout.NewElector(rollout.ElectorOptions{
 				Store: store, Clock: clocks[i].clock(), Holder: name, Incarnation: 1, HandoverDelay: handoverDelay, SteppedDown: trackers[i].SteppedDown,
 				DesiredAges:      func(time.Time) []roster.DesiredAge { return nil },
-				MergeDesiredAges: func(time.Time, []roster.DesiredAge) {},
+				MergeDesiredAges: func(time.Time, []roster.DesiredAge) {}, Targets: func(time.Time) []string { return nil },
 			})
 		}
 		letGo := make(map[uint64]bool)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -120,7 +120,7 @@
 	// engine.
 	peerChangeTTL = time.Minute
 	// lastOrdersPeriod is how long a VM that stops continues to send orders.
-	lastOrdersPeriod = 150 * time.Millisecond
+	lastOrdersPeriod = 200 * time.Millisecond
 	// leaseCheckInterval is the time between two reads of a lease that another VM
 	// holds. It is short compared with leaseTerm, so that an expired lease is
 	// noticed soon.
@@ -129,6 +129,9 @@
 	// lease has failed.
 	leaseBackoff = 250 * time.Millisecond
 	callTimeout  = 500 * time.Millisecond
+	// targetInterval is the time between two checks whether the stored lease has an
+	// engine as its target.
+	targetInterval = 20 * time.Millisecond
 	// uncertaintyInterval is how long an order without an effect is not repeated,
 	// since it may still be carried out.
 	uncertaintyInterval = 900 * time.Millisecond
@@ -154,8 +157,13 @@
 	mu sync.Mutex
 	// changing holds the IDs of the engines that this VM is changing.
 	changing map[string]bool
-	// loading is the number of slots in use, see MaxLoading.
-	loading int
+	// loading holds the IDs of the engines whose slots are in use, see MaxLoading, and
+	// loadedAt when those of other engines were last freed.
+	loading  map[string]bool
+	loadedAt map[string]time.Time
+	// ordersSent is the number of orders sent under the lease with the fence ordersFence.
+	ordersFence uint64
+	ordersSent  int
 	// lastProgress is when the rollout last progressed: the number of outdated
 	// engines changed, a change ended, or another VM reported work.
 	lastProgress time.Time
@@ -170,7 +178,7 @@
 
 // New returns a Rollout.
 func New(opts Options) *Rollout {
-	return &Rollout{opts: opts, changing: make(map[string]bool), failedAt: make(map[string]time.Time), peerChanges: make(map[string]time.Time)}
+	return &Rollout{opts: opts, changing: make(map[string]bool), loading: make(map[string]bool), loadedAt: make(map[string]time.Time), failedAt: make(map[string]time.Time), peerChanges: make(map[string]time.Time)}
 }
 
 // RecordProgress records that another VM was changing the engines at the given
@@ -195,6 +203,15 @@
 	return slices.Sorted(maps.Keys(r.changing))
 }
 
+// Targets returns the engines that this VM is about to send an order to, and those to
+// which it may have sent one within the Elector's HandoverPeriod.
+func (r *Rollout) Targets(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.loadedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= r.opts.Elector.HandoverPeriod() })
+	return slices.AppendSeq(slices.Collect(maps.Keys(r.loading)), maps.Keys(r.loadedAt))
+}
+
 // Run brings engines up to date until ctx ends. Then it continues for
 // lastOrdersPeriod and releases the lease.
 func (r *Rollout) Run(ctx context.Context) {
@@ -208,7 +225,7 @@
 		select {
 		case <-ctx.Done():
 			r.stopping.Store(true)
-			wait.For(context.WithoutCancel(ctx), lastOrdersPeriod)
+			r.renewUntil(context.WithoutCancel(ctx), r.opts.Clock.Now().Add(lastOrdersPeriod))
 			stop()
 			wg.Wait()
 			if err := r.opts.Elector.Release(context.WithoutCancel(ctx)); err != nil {
@@ -221,6 +238,18 @@
 	}
 }
 
+// renewUntil keeps the lease for the last orders of a VM that stops.
+func (r *Rollout) renewUntil(ctx context.Context, end time.Time) {
+	for now := r.opts.Clock.Now(); now.Before(end); now = r.opts.Clock.Now() {
+		if r.opts.Elector.Holds(now) {
+			if err := r.opts.Elector.Acquire(ctx); err != nil {
+				r.opts.Log.Warn().Err(err).Msg("lease not renewed")
+			}
+		}
+		wait.For(ctx, targetInterval)
+	}
+}
+
 // step runs once per TickInterval. If engines are outdated, it acquires or renews
 // the lease and starts the next changes, each in a goroutine of wg with the
 // context changes. If no engine is outdated or changing, it releases the lease.
@@ -314,14 +343,13 @@
 	const failedBackoff = 700 * time.Millisecond
 	maxChanging := MaxChanging(r.engineCount())
 	avoided := r.opts.Upstreams.Avoided(now)
-	inHandover := now.Before(r.opts.Elector.HandoverEnd())
 	load := r.opts.Upstreams.TotalLoad(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slots := maxChanging - len(r.changing)
 	candidates = slices.DeleteFunc(candidates, func(u roster.Upstream) bool {
 		return r.changing[u.ID] || now.Sub(r.failedAt[u.ID]) < failedBackoff || slices.Contains(avoided, u.ID) ||
-			inHandover && now.Sub(r.peerChanges[u.ID]) < peerChangeTTL
+			r.opts.Elector.InHandover(now, u.ID, now.Sub(r.peerChanges[u.ID]) < peerChangeTTL)
 	})
 	slices.SortFunc(candidates, func(a, b roster.Upstream) int {
 		// The oldest weights are the first that are no longer allowed to serve.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -50,6 +50,7 @@
 		SteppedDown:      func(string, int64, uint64) bool { return false },
 		DesiredAges:      vm.table.DesiredAges,
 		MergeDesiredAges: func(time.Time, []roster.DesiredAge) {},
+		Targets:          func(now time.Time) []string { return vm.rollout.Targets(now) },
 	}
 	rolloutOptions := rollout.Options{
 		Engines: vm.engines, Upstreams: vm.table, Clock: clock, Holder: "a", Rank: func(time.Time) int { return 0 },
