internal/rollout: store a new target at once

An order waits until the stored lease has its engine as a target, which took up to a tick of 60 ms and a poll since. Run now looks as soon as an engine gets its slot.

--- a/internal/rollout/change.go
+++ b/internal/rollout/change.go
@@ -50,6 +50,10 @@
 		return false
 	}
 	r.loading[id] = true
+	select {
+	case r.wake <- struct{}{}:
+	default: // Run is about to look
+	}
 	return true
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -151,6 +151,9 @@
 	// goroutine uses it.
 	retryAt time.Time
 
+	// wake makes Run store a new target without waiting for the next tick.
+	wake chan struct{}
+
 	// stopping is set when this VM stops and is about to release the lease.
 	stopping atomic.Bool
 
@@ -178,7 +181,7 @@
 
 // New returns a Rollout.
 func New(opts Options) *Rollout {
-	return &Rollout{opts: opts, changing: make(map[string]bool), loading: make(map[string]bool), loadedAt: make(map[string]time.Time), failedAt: make(map[string]time.Time), peerChanges: make(map[string]time.Time)}
+	return &Rollout{opts: opts, wake: make(chan struct{}, 1), changing: make(map[string]bool), loading: make(map[string]bool), loadedAt: make(map[string]time.Time), failedAt: make(map[string]time.Time), peerChanges: make(map[string]time.Time)}
 }
 
 // RecordProgress records that another VM was changing the engines at the given
@@ -234,6 +237,8 @@
 			return
 		case <-ticker.C:
 			r.step(ctx, changes, &wg)
+		case <-r.wake:
+			r.step(ctx, changes, &wg)
 		}
 	}
 }
