internal/routing: a cache key for each set of isolated organisations

Cause: the salt of organisations that are not isolated was the same whoever was isolated. An organisation that becomes isolated left its parts under it, in engines and in the prompt store.

Change: their cache key now differs for each set of isolated organisations, and is that of the configuration in force when the request is sent. It follows from the configuration alone, so that VMs without a history agree.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -329,7 +329,7 @@
 
 // upstreamQuery describes the request for choosing the upstream of the next attempt.
 func (j *job) upstreamQuery() roster.Query {
-	q := j.Query()
+	q := j.Query(j.h.opts.Configuration.Current())
 	q.Exclude, q.Build = j.attempted, j.build
 	return q
 }
@@ -484,6 +484,6 @@
 
 // upstreamRequest returns the request as it is sent to the upstream of a choice.
 func (j *job) upstreamRequest(now time.Time, c roster.Choice) exchange.Request {
-	header := j.h.opts.Codec.EncodeHeader(j.UpstreamCall(now, c, j.lastEvent))
+	header := j.h.opts.Codec.EncodeHeader(j.UpstreamCall(now, j.h.opts.Configuration.Current(), c, j.lastEvent))
 	return exchange.Request{Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.Body}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,8 +7,8 @@
 //	head, err := codec.DecodeRequest(r)
 //	request, err := intake.Read(now, w, r, configuration, head, nil, bodies)
 //	defer request.Release()
-//	choice, found := table.Pick(now, request.Query())
-//	header := codec.EncodeHeader(request.UpstreamCall(now, choice, ""))
+//	choice, found := table.Pick(now, request.Query(configuration))
+//	header := codec.EncodeHeader(request.UpstreamCall(now, configuration, choice, ""))
 package intake
 
 import (
@@ -135,12 +135,13 @@
 	return q.Route.Timeout
 }
 
-// Query describes the request for choosing an upstream.
-func (q Request) Query() roster.Query {
+// Query describes the request for choosing an upstream. inForce is the present
+// configuration, which decides with whom the organisation shares cached prompts.
+func (q Request) Query(inForce *routing.Config) roster.Query {
 	query := roster.Query{Service: q.Service.Name}
 	if q.Service.Engine {
 		query.Model = q.Head.Model
-		query.Parts = q.sharedParts()
+		query.Parts = q.sharedParts(inForce)
 		for _, p := range query.Parts {
 			query.UnsharedTokens -= p.Tokens
 		}
@@ -150,16 +151,16 @@
 	return query
 }
 
-// sharedParts returns the shared parts of the prompt. Their IDs are unique to the
-// organisation if it is isolated.
-func (q Request) sharedParts() []roster.Part {
-	shared := q.Head.SharedParts()
-	if !q.Organisation.Isolated || len(shared) == 0 {
+// sharedParts returns the shared parts of the prompt. Their IDs contain the organisation's
+// cache key.
+func (q Request) sharedParts(inForce *routing.Config) []roster.Part {
+	shared, key := q.Head.SharedParts(), inForce.CacheKey(q.Organisation.Name)
+	if key == "" || len(shared) == 0 {
 		return shared
 	}
 	parts := make([]roster.Part, len(shared))
 	for i, p := range shared {
-		parts[i] = roster.Part{ID: roster.IsolatedID(q.Organisation.Name, p.ID), Tokens: p.Tokens}
+		parts[i] = roster.Part{ID: roster.IsolatedID(key, p.ID), Tokens: p.Tokens}
 	}
 	return parts
 }
@@ -184,17 +185,14 @@
 }
 
 // UpstreamCall returns an attempt of the request on the upstream of a choice. The caller
-// has the events up to resumeAfter, none if that is empty.
-func (q Request) UpstreamCall(now time.Time, c roster.Choice, resumeAfter string) message.UpstreamCall {
-	isolationKey := ""
-	if q.Organisation.Isolated {
-		isolationKey = q.Organisation.Name
-	}
+// has the events up to resumeAfter, none if that is empty. inForce is the present
+// configuration.
+func (q Request) UpstreamCall(now time.Time, inForce *routing.Config, c roster.Choice, resumeAfter string) message.UpstreamCall {
 	return message.UpstreamCall{
 		Request:      q.Head,
 		Upstream:     c.Upstream,
 		Organisation: q.Organisation.Name,
-		IsolationKey: isolationKey,
+		CacheKey:     inForce.CacheKey(q.Organisation.Name),
 		TimeLeft:     q.Deadline.Sub(now),
 		ResumeAfter:  resumeAfter,
 		Priority:     q.Priority(),
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -87,9 +87,9 @@
 	Request      Request
 	Upstream     roster.Upstream
 	Organisation string
-	// IsolationKey is the organisation's name if it is isolated, and empty
-	// otherwise. Requests share cached prompts only under the same key.
-	IsolationKey string
+	// CacheKey is the organisation's cache key. Requests share cached prompts only
+	// under the same key.
+	CacheKey string
 	// TimeLeft is the time until the deadline.
 	TimeLeft    time.Duration
 	ResumeAfter string
--- a/internal/roster/load.go
+++ b/internal/roster/load.go
@@ -152,7 +152,7 @@
 // CachedPart is a prompt part that an engine or the prompt store reports as
 // cached or evicted.
 type CachedPart struct {
-	// ID begins with the isolation key if there is one, see IsolatedID.
+	// ID begins with the cache key if there is one, see IsolatedID.
 	ID string
 	// Tokens is the number of tokens cached now; 0 means none.
 	Tokens int
@@ -162,9 +162,8 @@
 	Build   string
 }
 
-// IsolatedID returns the ID of a part under an isolation key. Organisations
-// with different keys never share cached parts. Parts without a key are shared
-// by all.
+// IsolatedID returns the ID of a part under a cache key. Organisations with
+// different keys never share cached parts.
 func IsolatedID(key, id string) string {
 	if key == "" {
 		return id
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -12,10 +12,16 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuscove/hibiscuscove/internal/quota"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 )
@@ -156,6 +162,10 @@
 	byKey    map[string]Organisation
 	services map[string]Service
 	quotas   map[string]quota.Limit
+	// isolated holds for each organisation whether it is isolated. sharedCache is the cache
+	// key of all others.
+	isolated    map[string]bool
+	sharedCache string
 }
 
 // New returns the Config of a document. revision is its revision in the store.
@@ -167,6 +177,7 @@
 		byKey:    make(map[string]Organisation),
 		services: make(map[string]Service),
 		quotas:   make(map[string]quota.Limit),
+		isolated: make(map[string]bool),
 	}
 	for _, r := range d.Routes {
 		host := strings.ToLower(r.Host)
@@ -176,6 +187,7 @@
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, o := range d.Organisations {
+		c.isolated[o.Name] = c.isolated[o.Name] || o.Isolated
 		if o.Quota.Limited() {
 			c.quotas[o.Name] = o.Quota
 		}
@@ -186,9 +198,39 @@
 	for _, s := range d.Services {
 		c.services[s.Name] = s
 	}
+	c.sharedCache = sharedCacheKey(c.isolated)
 	return c
 }
 
+// sharedCacheKey returns the cache key of the organisations that are not isolated. It
+// differs for each set of isolated ones, so that what an organisation has left under a
+// shared key is not found by others once it is isolated. It is empty if there are none.
+func sharedCacheKey(isolated map[string]bool) string {
+	h := xxhash.New()
+	found := false
+	for _, name := range slices.Sorted(maps.Keys(isolated)) {
+		if isolated[name] {
+			found = true
+			_, _ = fmt.Fprintf(h, "%d:%s", len(name), name) // never fails
+		}
+	}
+	if !found {
+		return ""
+	}
+	return "/" + strconv.FormatUint(h.Sum64(), 36)
+}
+
+// CacheKey returns the key under which the requests of an organisation share cached
+// prompts. An organisation that is isolated, or that the configuration does not have, has
+// one of its own, which contains no slash. Requests without an organisation have an empty
+// name.
+func (c *Config) CacheKey(organisation string) string {
+	if isolated, known := c.isolated[organisation]; isolated || !known && organisation != "" {
+		return url.PathEscape(organisation)
+	}
+	return c.sharedCache
+}
+
 // WithEra returns the configuration with the store's era of its revision, which is 0
 // otherwise.
 func (c *Config) WithEra(era uint64) *Config {
