internal/registry: a lost call is no outage of the store

Cause: time in which the store is disrupted does not count towards the limit on old weights, and one lost call counted as such a disruption: one watch lost, 297 ms until the next one showed that the store answers.

Change: an outage is calls that fail for a second or more, two of which show that the store is not available (no connection can be opened, or 503), or six in a row. It counts from the first failed call. After a failed call a watch waits 50 ms, not 300 ms. "store reachable again" tells the number of failed calls.

--- a/internal/entryvm/fleet.go
+++ b/internal/entryvm/fleet.go
@@ -300,7 +300,7 @@
 
 // maintainUpstreams periodically removes upstreams whose entries expired during an
 // outage of the store and have not come back. It also updates the roster's fleet
-// size, and records a disruption while calls to the store fail.
+// size, and records a disruption while the store does not respond.
 func (v *VM) maintainUpstreams(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, expireInterval)
@@ -313,8 +313,10 @@
 		// VMs that have recently fallen silent are counted too: a VM that is cut off
 		// from the others still belongs to a large fleet.
 		v.upstreams.SetFleetSize(v.beacon.KnownCount())
-		if !v.storeHealthy() {
-			v.upstreams.RecordDisruption(now)
+		for _, outage := range []func() (time.Time, bool){v.configurationFollower.Outage, v.upstreamFollower.Outage, v.versionFollower.Outage} {
+			if since, found := outage(); found {
+				v.upstreams.RecordDisruption(since, now)
+			}
 		}
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,9 @@
 	ErrLateResponse = errors.New("registry: response of an earlier era")
 	// ErrRefused means that the store rejected the call. Nothing was written.
 	ErrRefused = errors.New("registry: refused")
+	// ErrUnavailable means that the store said that it is not available, or that no
+	// connection to it could be opened. Nothing was written.
+	ErrUnavailable = errors.New("registry: unavailable")
 )
 
 // Item is one object of a collection.
@@ -95,8 +98,9 @@
 	maxWatchMargin = 700 * time.Millisecond
 	// retryRoom is left of Options.MaxSilence for the first call after a lost one.
 	retryRoom = 300 * time.Millisecond
-	// outageWait is how long a watch waits after a failed call. An outage may lose it too.
-	outageWait = 300 * time.Millisecond
+	// outageWait is how long a watch waits after a failed call. An outage may lose it too,
+	// and so may a reset of this VM's connections while it waits.
+	outageWait = 50 * time.Millisecond
 	// minBackoff and maxBackoff limit the backoff after a failed call.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
@@ -104,6 +108,13 @@
 	idleInterval = 150 * time.Millisecond
 	// returnPeriod is how long after an outage expired items may come back.
 	returnPeriod = 2 * time.Second
+	// minOutage is the least time between the first and the last of several failed calls in
+	// a row from which on the store counts as disrupted. minUnavailable of them must show
+	// that it is not available, or there must be minLostCalls: a reset or a silence of this
+	// VM's connections loses a call, and the next one goes out on a new connection.
+	minOutage      = time.Second
+	minUnavailable = 2
+	minLostCalls   = 6
 	// minExpiryOutage is the shortest outage in which items expire.
 	minExpiryOutage = 500 * time.Millisecond
 	// newEraSpread is the time over which VMs list again when they notice a new era.
@@ -150,9 +161,12 @@
 	// for peers with an older state. Both are of the state's era.
 	deleted      []Item[T]
 	deletedAfter uint64
-	// failingSince is when calls started to fail, or zero. recoveredAt is when
-	// they worked again after an outage in which items may have expired.
-	failingSince, recoveredAt time.Time
+	// failingSince is when calls started to fail, or zero. failedAt is when the last of
+	// the failedCalls since then failed; the error of unavailable of them was
+	// ErrUnavailable. recoveredAt is when calls worked again after an outage in which items
+	// may have expired.
+	failingSince, failedAt, recoveredAt time.Time
+	failedCalls, unavailable            int
 }
 
 // NewFollower returns a Follower without any state, at revision 0.
@@ -198,6 +212,15 @@
 	return f.failingSince.IsZero()
 }
 
+// Outage reports whether the store does not respond or is out of reach, and since when.
+// A few lost calls do not tell that: this VM's connections may have been reset.
+func (f *Follower[T]) Outage() (since time.Time, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found = !f.failingSince.IsZero() && f.failedAt.Sub(f.failingSince) >= minOutage && (f.unavailable >= minUnavailable || f.failedCalls >= minLostCalls)
+	return f.failingSince, found
+}
+
 // maxDeleted limits the deleted items that are kept for peers.
 const maxDeleted = 256
 
@@ -348,9 +371,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
-		f.failingSince = now
+		f.failingSince, f.failedCalls, f.unavailable = now, 0, 0
 		f.opts.Log.Warn().Str("collection", f.opts.Name).Uint64("era", f.position.Era).Uint64("revision", f.position.Revision).Int64("waited_ms", now.Sub(called).Milliseconds()).Err(err).Msg("store lost")
 	}
+	f.failedAt = now
+	f.failedCalls++
+	if errors.Is(err, ErrUnavailable) {
+		f.unavailable++
+	}
 }
 
 // recordPassive clears a recorded failure because other VMs watch instead of
@@ -376,7 +404,7 @@
 	if outage >= minExpiryOutage {
 		f.recoveredAt = now
 	}
-	f.opts.Log.Info().Str("collection", f.opts.Name).Dur("outage", outage).Msg("store reachable again")
+	f.opts.Log.Info().Str("collection", f.opts.Name).Dur("outage", outage).Int("failed_calls", f.failedCalls).Int("unavailable", f.unavailable).Msg("store reachable again")
 }
 
 // afterOutage reports whether an outage of the store ended so recently that
--- a/internal/roster/pick_test.go
+++ b/internal/roster/pick_test.go
@@ -153,7 +153,7 @@
 			tb := table(engines(3, 1)...)
 			tb.SetDesired(start, "m", 2)
 			if test.disruptedAfter > 0 {
-				tb.RecordDisruption(start.Add(test.disruptedAfter))
+				tb.RecordDisruption(start.Add(test.disruptedAfter), start.Add(test.disruptedAfter))
 			}
 			_, found := tb.Pick(start.Add(test.after), query())
 			if diff := cmp.Diff(test.found, found); diff != "" {
@@ -446,7 +446,7 @@
 		},
 		"cut off from the store until 6 s": func(tb *roster.Table) {
 			for s := 1.0; s <= 6; s += 0.2 {
-				tb.RecordDisruption(at(s))
+				tb.RecordDisruption(at(s), at(s))
 			}
 			events["ages"](tb, start)
 		},
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -188,11 +188,12 @@
 	return t.partialView
 }
 
-// RecordDisruption records that the platform's store does not respond at now.
-func (t *Table) RecordDisruption(now time.Time) {
+// RecordDisruption records that the platform's store has not responded since from. It
+// extends the time for which old weights may be used, so that from must be certain.
+func (t *Table) RecordDisruption(from, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.disruptions = t.disruptions.With(now)
+	t.disruptions = t.disruptions.With(from, now)
 }
 
 // Change is a change of one upstream in the platform's store.
--- a/internal/roster/versions_test.go
+++ b/internal/roster/versions_test.go
@@ -48,7 +48,7 @@
 			tb.Replace(start, engines(3, 1), false)
 			tb.SetDesired(start, "m", 2)
 			for at := test.interval; at < test.duration; at += test.interval {
-				tb.RecordDisruption(start.Add(at))
+				tb.RecordDisruption(start.Add(at), start.Add(at))
 			}
 			_, found := tb.Pick(start.Add(test.duration), query())
 			if diff := cmp.Diff(test.want, !found); diff != "" {
--- a/internal/weights/disruptions.go
+++ b/internal/weights/disruptions.go
@@ -17,8 +17,8 @@
 	// minInterval is the shortest undisrupted interval that counts towards the
 	// total.
 	minInterval = 2 * time.Second
-	// mergeGap is longer than the time between two checks of the platform, so
-	// that consecutive failed checks are one disruption.
+	// mergeGap is longer than the time between two records of a disruption that
+	// lasts, so that they are one.
 	mergeGap = time.Second
 	// maxDisruptions limits the disruptions remembered.
 	maxDisruptions = 64
@@ -31,14 +31,14 @@
 // disrupted, oldest first. They are immutable.
 type Disruptions []interval
 
-// With returns the disruptions extended by one observed at now.
-func (d Disruptions) With(now time.Time) Disruptions {
-	if n := len(d); n > 0 && now.Sub(d[n-1].to) < mergeGap {
+// With returns the disruptions extended by one that lasts from a time until now.
+func (d Disruptions) With(from, now time.Time) Disruptions {
+	if n := len(d); n > 0 && from.Sub(d[n-1].to) < mergeGap {
 		extended := append(Disruptions(nil), d...)
 		extended[n-1].to = now
 		return extended
 	}
-	return append(append(Disruptions(nil), d[max(0, len(d)-maxDisruptions+1):]...), interval{now, now})
+	return append(append(Disruptions(nil), d[max(0, len(d)-maxDisruptions+1):]...), interval{from, now})
 }
 
 // exceeded reports whether the time from since to now, disruptions not counted,
--- a/internal/weights/history_test.go
+++ b/internal/weights/history_test.go
@@ -47,7 +47,7 @@
 			test.setup(h)
 			var d weights.Disruptions
 			for _, seconds := range test.disruptions {
-				d = d.With(at(seconds))
+				d = d.With(at(seconds), at(seconds))
 			}
 			if diff := cmp.Diff(test.want, h.OldestAllowed(at(test.now), "m", d, limits)); diff != "" {
 				t.Errorf("oldest allowed version (-want +got):\n%s", diff)
@@ -61,14 +61,14 @@
 func TestDisruptionsAreLimited(t *testing.T) {
 	var repeated weights.Disruptions
 	for i := range 10_000 {
-		repeated = repeated.With(start.Add(time.Duration(i) * 3 * time.Second))
+		repeated = repeated.With(start.Add(time.Duration(i)*3*time.Second), start.Add(time.Duration(i)*3*time.Second))
 	}
 	if maximum := 64; len(repeated) > maximum {
 		t.Errorf("%d disruptions are remembered, want %d or fewer", len(repeated), maximum)
 	}
 	var lasting weights.Disruptions
 	for i := range 100 {
-		lasting = lasting.With(start.Add(time.Duration(i) * 200 * time.Millisecond))
+		lasting = lasting.With(start.Add(time.Duration(i)*200*time.Millisecond), start.Add(time.Duration(i)*200*time.Millisecond))
 	}
 	if diff := cmp.Diff(1, len(lasting)); diff != "" {
 		t.Errorf("disruptions of a lasting outage (-want +got):\n%s", diff)
