internal/weights: tell every version that still limits the use of weights

Cause: peers and the lease told the last four versions of a model. A VM that starts, or that did not reach the store meanwhile, never learnt of an earlier one. A VM's own memory dropped the oldest of more than 33 with the same effect.

Change: told are the newest version past its limit and all later ones. Of more than 12 (33 in a VM's own memory) the two set closest together become one, the newer version with the older one's time, so that what is left out makes the limit stricter.

Evidence: TestVersionsReachVMsThatMissedThem (up to 80 versions, passed on by VMs that knew nothing) failed at once with the former rule put back, as did TestFewVersionsAreKeptExactly.

--- a/internal/roster/versions.go
+++ b/internal/roster/versions.go
@@ -32,12 +32,12 @@
 	return t.desired.Assume(at, model, version)
 }
 
-// DesiredAges returns the latest desired versions with their ages. Versions
-// with an estimated age are left out.
+// DesiredAges returns the desired versions that limit the use of weights, with their
+// ages; see weights.History. Versions with an estimated age are left out.
 func (t *Table) DesiredAges(now time.Time) []DesiredAge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.desired.Ages(now)
+	return t.desired.Ages(now, t.disruptions, t.opts.VersionLimits)
 }
 
 // Desired returns the newest desired version of a model and when it was set, as
--- a/internal/weights/history.go
+++ b/internal/weights/history.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,7 +31,10 @@
 	// maxEarlier limits the earlier versions remembered for each model.
 	maxEarlier = 32
 	// maxAges limits the versions of each model in Ages.
-	maxAges = 4
+	maxAges = 12
+	// settledAfter is the time before the newest version after which the order of earlier
+	// ones no longer matters: all of them are past any limit.
+	settledAfter = time.Minute
 )
 
 // History holds the desired versions of each model.
@@ -70,7 +74,7 @@
 		if old.version > 0 {
 			earlier = append(earlier, desiredVersion{version: old.version, since: old.since, estimated: old.estimated})
 		}
-		v.earlier = earlier[max(0, len(earlier)-maxEarlier):]
+		v.earlier = compact(earlier, maxEarlier, v.since)
 		h.models[model] = v
 		return true
 	}
@@ -84,15 +88,39 @@
 	switch {
 	case known:
 		old.earlier[i] = old.earlier[i].correctedBy(v)
-	case v.version > 0 && len(old.earlier) < maxEarlier:
-		// A VM that has just started knows only the newest version and
-		// receives the earlier ones from peers.
-		old.earlier = slices.Insert(old.earlier, i, v)
+	case v.version > 0:
+		// A VM that has just started, or that did not reach the store, knows only the
+		// newest version and receives the earlier ones from peers.
+		old.earlier = compact(slices.Insert(slices.Clone(old.earlier), i, v), maxEarlier, old.since)
 		h.models[model] = old
 	}
 	return false
 }
 
+// compact returns at most a number of the versions, which are in order. It replaces two that
+// follow one another, those set closest together first, by the newer one with the time of
+// the older one. So the time for which a version may be used becomes shorter, never longer.
+func compact(list []desiredVersion, most int, newest time.Time) []desiredVersion {
+	for len(list) > most {
+		best, shortest := 0, time.Duration(math.MaxInt64)
+		for i := range list[:len(list)-1] {
+			gap := max(0, list[i+1].since.Sub(list[i].since))
+			if newest.Sub(list[i+1].since) > settledAfter {
+				gap = 0
+			}
+			if gap < shortest {
+				best, shortest = i, gap
+			}
+		}
+		older := list[best]
+		list = slices.Delete(slices.Clone(list), best, best+1)
+		if older.since.Before(list[best].since) {
+			list[best].since, list[best].estimated = older.since, older.estimated
+		}
+	}
+	return list
+}
+
 // correctedBy returns the version with the time of another record of it, if
 // that time is exact and this one estimated, or if it is earlier.
 func (v desiredVersion) correctedBy(other desiredVersion) desiredVersion {
@@ -128,19 +156,25 @@
 	return 0
 }
 
-// Ages returns the latest desired versions with their ages. Versions with an
-// estimated time are left out.
-func (h *History) Ages(now time.Time) []Age {
+// Ages returns the desired versions that limit the use of weights, with their ages: the
+// newest one past its limit, see OldestAllowed, and all later ones. Versions with an
+// estimated time are left out. Of many versions only some are returned, the newer ones of
+// those set closest together, with an age that is too high rather than too low.
+func (h *History) Ages(now time.Time, d Disruptions, limits Limits) []Age {
 	var ages []Age
-	add := func(model string, v desiredVersion) {
-		if !v.estimated {
-			ages = append(ages, Age{model, v.version, now.Sub(v.since).Milliseconds()})
+	for model, newest := range h.models {
+		oldest := h.OldestAllowed(now, model, d, limits)
+		var list []desiredVersion
+		for _, v := range append(slices.Clone(newest.earlier), newest) {
+			if !v.estimated && v.version >= oldest {
+				list = append(list, v)
+			}
 		}
-	}
-	for model, v := range h.models {
-		add(model, v)
-		for _, e := range v.earlier[max(0, len(v.earlier)-maxAges+1):] {
-			add(model, e)
+		if n := len(list); n > 0 {
+			list = append(compact(list[:n-1], maxAges-1, list[n-1].since), list[n-1])
+		}
+		for _, v := range list {
+			ages = append(ages, Age{model, v.version, now.Sub(v.since).Milliseconds()})
 		}
 	}
 	return ages
--- a/internal/weights/history_test.go
+++ b/internal/weights/history_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/weights"
 )
@@ -81,7 +82,70 @@
 	h.Set(start, "m", 2)
 	h.Assume(start, "m", 3)
 	want := []weights.Age{{Model: "m", Version: 2, AgeMS: 1_000}}
-	if diff := cmp.Diff(want, h.Ages(start.Add(time.Second))); diff != "" {
+	if diff := cmp.Diff(want, h.Ages(start.Add(time.Second), nil, limits)); diff != "" {
 		t.Errorf("ages (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against VERSION: a VM that starts, or that did not reach the store, does not learn
+// of a version that was named before several others, and uses weights from before it. Any
+// number of versions is named at any intervals, and what a VM knows reaches it through
+// others, each of which may be such a VM itself.
+func TestVersionsReachVMsThatMissedThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		witness, now := weights.NewHistory(), start
+		versions := make(map[int64]time.Time)
+		newest := int64(1)
+		for range rapid.IntRange(1, 80).Draw(t, "versions") {
+			now = now.Add(time.Duration(rapid.OneOf(rapid.IntRange(0, 800), rapid.IntRange(0, 90_000)).Draw(t, "gap ms")) * time.Millisecond)
+			newest += int64(rapid.IntRange(1, 3).Draw(t, "step"))
+			witness.Set(now, "m", newest)
+			versions[newest] = now
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 5_000).Draw(t, "until told")) * time.Millisecond)
+		vms := []*weights.History{witness}
+		for range rapid.IntRange(1, 3).Draw(t, "VMs") {
+			vm := weights.NewHistory()
+			vm.Assume(now.Add(-5*time.Second), "m", newest)
+			ages := vms[len(vms)-1].Ages(now, nil, limits)
+			if most := 12; len(ages) > most {
+				t.Fatalf("%d versions in a message, want %d or fewer", len(ages), most)
+			}
+			for _, age := range ages {
+				vm.Set(now.Add(-time.Duration(age.AgeMS)*time.Millisecond), age.Model, age.Version)
+			}
+			vms = append(vms, vm)
+		}
+		for range 12 {
+			now = now.Add(time.Second)
+			want := int64(0) // versions below it have been replaced for too long
+			for version, at := range versions {
+				if now.Sub(at) > limits.MaxSpan {
+					want = max(want, version)
+				}
+			}
+			for i, vm := range vms {
+				if got := vm.OldestAllowed(now, "m", nil, limits); got < want {
+					t.Fatalf("VM %d allows version %d on, want %d or a later one", i, got, want)
+				}
+			}
+		}
+	})
+}
+
+// TestFewVersionsAreKeptExactly checks that the ages of a few versions are told as they are.
+func TestFewVersionsAreKeptExactly(t *testing.T) {
+	h := weights.NewHistory()
+	var want []weights.Age
+	for i := range int64(10) {
+		h.Set(start.Add(time.Duration(i)*600*time.Millisecond), "m", 2+i)
+		want = append(want, weights.Age{Model: "m", Version: 2 + i, AgeMS: 6_000 - i*600})
+	}
+	if diff := cmp.Diff(want, h.Ages(start.Add(6*time.Second), nil, limits)); diff != "" {
+		t.Errorf("ages (-want +got):\n%s", diff)
+	}
+	settled := []weights.Age{{Model: "m", Version: 11, AgeMS: 60_000 - 5_400}}
+	if diff := cmp.Diff(settled, h.Ages(start.Add(time.Minute), nil, limits)); diff != "" {
+		t.Errorf("ages after a minute (-want +got):\n%s", diff)
+	}
+}
