internal/ingress: late in a planned stop nothing new is sent

Cause: only the arrival of a request was held against the stage of the stop, not its sending.

Change: from 0.6 of the time to stop on, a request that no upstream has got is refused as not run, with Retry-After. What has been sent before goes on.

--- a/internal/entryvm/stop.go
+++ b/internal/entryvm/stop.go
@@ -19,6 +19,9 @@
 	// takingShare is the share of the time to stop in which a VM takes new requests. What it
 	// takes later may not have ended when the VM must.
 	takingShare = 0.35
+	// sendingShare is the share of the time to stop in which a VM sends requests that have
+	// waited.
+	sendingShare = 0.6
 	// lastAnswersTimeout limits the time in which requests that are ended get their
 	// errors. It is well below killMargin.
 	lastAnswersTimeout = 150 * time.Millisecond
@@ -40,6 +43,9 @@
 	if since < min(staleLookup+drainMargin, time.Duration(takingShare*float64(stop))) {
 		return ingress.Draining
 	}
+	if since >= time.Duration(sendingShare*float64(stop)) {
+		return ingress.Ending
+	}
 	return ingress.Closing
 }
 
--- a/internal/entryvm/stop_test.go
+++ b/internal/entryvm/stop_test.go
@@ -22,14 +22,17 @@
 		since, staleLookup, stop time.Duration
 		want                     ingress.Stage
 	}{
-		"at once":                             {0, staleLookup, stop, ingress.Draining},
-		"while most look-ups are stale":       {2500 * time.Millisecond, staleLookup, stop, ingress.Draining},
-		"three seconds after SIGTERM":         {3*time.Second - signalDelay, staleLookup, stop, ingress.Closing},
-		"while the last look-ups are stale":   {3300 * time.Millisecond, staleLookup, stop, ingress.Closing},
-		"short look-ups":                      {1200 * time.Millisecond, 900 * time.Millisecond, stop, ingress.Draining},
-		"short look-ups have ended":           {1400 * time.Millisecond, 900 * time.Millisecond, stop, ingress.Closing},
-		"much time to stop, look-ups decide":  {3300 * time.Millisecond, staleLookup, time.Minute, ingress.Draining},
-		"much time to stop, all look-ups end": {3500 * time.Millisecond, staleLookup, time.Minute, ingress.Closing},
+		"at once":                               {0, staleLookup, stop, ingress.Draining},
+		"while most look-ups are stale":         {2500 * time.Millisecond, staleLookup, stop, ingress.Draining},
+		"three seconds after SIGTERM":           {3*time.Second - signalDelay, staleLookup, stop, ingress.Closing},
+		"while the last look-ups are stale":     {3300 * time.Millisecond, staleLookup, stop, ingress.Closing},
+		"short look-ups":                        {1200 * time.Millisecond, 900 * time.Millisecond, stop, ingress.Draining},
+		"short look-ups have ended":             {1400 * time.Millisecond, 900 * time.Millisecond, stop, ingress.Closing},
+		"much time to stop, look-ups decide":    {3300 * time.Millisecond, staleLookup, time.Minute, ingress.Draining},
+		"before requests that wait are refused": {4700 * time.Millisecond, staleLookup, stop, ingress.Closing},
+		"requests that wait are refused":        {4900 * time.Millisecond, staleLookup, stop, ingress.Ending},
+		"short look-ups, late":                  {7 * time.Second, 900 * time.Millisecond, stop, ingress.Ending},
+		"much time to stop, all look-ups end":   {3500 * time.Millisecond, staleLookup, time.Minute, ingress.Closing},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -102,6 +102,9 @@
 	Draining
 	// Closing VMs refuse new requests.
 	Closing
+	// Ending VMs also refuse those that wait for an upstream: too little time is left
+	// for them to run.
+	Ending
 )
 
 const (
@@ -233,7 +236,7 @@
 	for _, name := range request.Unusable {
 		h.incCounter("unusable." + name)
 	}
-	if stage == Closing {
+	if stage >= Closing {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the VM is stopping").WithRetryAfter(notReadyRetryAfter)
 	}
 	cfg := h.opts.Configuration.Current()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -363,12 +363,18 @@
 	return j.runs+j.rejected+j.notSent == 0 && !j.headSent && j.Head.ResumeAfter == ""
 }
 
+// tooLate reports whether the VM ends too soon for the next attempt. One that has run before
+// is still tried, since its caller may not send it again.
+func (j *job) tooLate(now time.Time) bool {
+	return j.h.isStopping() || j.runs == 0 && len(j.legs) == 0 && !j.headSent && j.h.opts.Stage(now) == Ending
+}
+
 // startLeg sends the request to one upstream.
 func (j *job) startLeg(ctx context.Context) error {
 	if err := j.checkUnsent(); err != nil {
 		return err
 	}
-	if j.h.isStopping() {
+	if j.tooLate(j.h.opts.Now()) {
 		return stoppingError()
 	}
 	err := j.chooseAndSend(ctx)
@@ -467,7 +473,7 @@
 func (j *job) checkSend(pickedAt time.Time, u roster.Upstream) error {
 	now := j.h.opts.Now()
 	reason := codeStopping
-	if !j.h.isStopping() {
+	if !j.tooLate(now) {
 		reason = j.h.selector.Withhold(now, pickedAt, u)
 	}
 	if reason == "" && len(j.legs) == 0 && j.checkUnsent() != nil {
