internal/lineage: time in suspension is no time in which all builds were known

Cause: whether a VM has known all builds for long enough was measured by a clock that stands still while the VM is suspended.

Change: that time runs on the clock that counts suspension.

--- a/internal/entryvm/streams.go
+++ b/internal/entryvm/streams.go
@@ -29,8 +29,9 @@
 
 func (v *VM) buildStreams() {
 	v.streamsClient = newStreamsClient()
+	started, booted := v.opts.Now(), v.opts.Boot()
 	v.streams = lineage.NewAgent(lineage.AgentOptions{
-		Now: v.opts.Now, Peers: v.streamPeers, Ask: v.askForStream, Log: v.log,
+		Now: v.opts.Now, AwakeNow: func() time.Time { return started.Add(v.opts.Boot() - booted) }, Peers: v.streamPeers, Ask: v.askForStream, Log: v.log,
 		Send: func(vm string, facts []lineage.Fact) { v.beacon.SendStreams(v.settings.Name, vm, facts) },
 	})
 }
--- a/internal/lineage/agent.go
+++ b/internal/lineage/agent.go
@@ -44,10 +44,13 @@
 	Incarnation int64
 }
 
-// AgentOptions configures an Agent. All fields but Log are required.
+// AgentOptions configures an Agent. All fields but AwakeNow and Log are required.
 type AgentOptions struct {
 	// Now returns the current time.
 	Now func() time.Time
+	// AwakeNow, if it is set, returns the current time of a clock that does not stand
+	// still while the VM is suspended, when it sees nothing of what other VMs do.
+	AwakeNow func() time.Time
 	// Peers returns the other VMs, ordered by name.
 	Peers func(now time.Time) []Peer
 	// Ask sends a question to another VM.
@@ -319,11 +322,19 @@
 	a.opts.Log.Warn().Str("stream", f.ID).Str("service", f.Service).Str("build", f.Build).Str("other", build).Msg("builds of a stream differ")
 }
 
+// awake returns the present time for the history.
+func (a *Agent) awake(now time.Time) time.Time {
+	if a.opts.AwakeNow == nil {
+		return now
+	}
+	return a.opts.AwakeNow()
+}
+
 // UpdateBuilds records which builds serve; see History.Update.
 func (a *Agent) UpdateBuilds(now time.Time, serving map[string][]string, complete bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.history.Update(now, serving, complete)
+	a.history.Update(a.awake(now), serving, complete)
 }
 
 // Handle answers a question of another VM.
@@ -341,7 +352,7 @@
 		if f, known := a.tracker.Lookup(now, Stream{q.Stream, q.Organisation, service}); known {
 			out.Facts = append(out.Facts, f)
 		}
-		out.Served = append(out.Served, a.history.Served(now, service, time.Duration(q.LifeMS)*time.Millisecond))
+		out.Served = append(out.Served, a.history.Served(a.awake(now), service, time.Duration(q.LifeMS)*time.Millisecond))
 	}
 	return out
 }
@@ -428,7 +439,7 @@
 		}
 	}
 	for service := range a.history.servedAt {
-		s.Builds[service] = a.history.Served(now, service, MaxLife)
+		s.Builds[service] = a.history.Served(a.awake(now), service, MaxLife)
 	}
 	for _, queue := range a.queue {
 		s.Queued += len(queue)
