internal/framing: requests are read one at a time, wherever their bytes are cut

Cause: the check of heads did not know where a body ends. It left out what came behind a head in one read, and took the next read for the beginning of a head.

Change: the check finds the end of each request and hands net/http the bytes of one request at a time. Requests sent ahead run in order (they were refused with 503, or not, by when they arrived). HTTP/1.0 with Transfer-Encoding, odd lengths, and chunks that can be read in two ways are refused.

--- a/internal/entryvm/servers.go
+++ b/internal/entryvm/servers.go
@@ -119,10 +119,7 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return connend.ConnContext(checked.ConnContext(ctx, c), c)
 	}
-	server.ConnState = func(c net.Conn, state http.ConnState) {
-		checked.ConnState(c, state)
-		limited.ConnState(c, state)
-	}
+	server.ConnState = limited.ConnState
 	return server, nil
 }
 
@@ -157,23 +154,19 @@
 }
 
 // limitBody limits the size of bodies, and the time in which they must have arrived. It
-// refuses requests that are pipelined or can be read in two ways.
+// refuses requests that can be read in two ways.
 func limitBody(next http.Handler, maxBytes int64, timeout time.Duration, now func() time.Time) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(now().Add(timeout)) // fails only without a connection
 			r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
 		}
-		switch framing.Check(r.Context()) {
-		case framing.Ambiguous:
+		if framing.Check(r.Context()) != framing.Clear {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the request can be read in two ways", http.StatusBadRequest)
-		case framing.Unchecked:
-			w.Header().Set("Connection", "close")
-			http.Error(w, "the request was sent before the answer to the previous one", http.StatusServiceUnavailable)
-		default:
-			next.ServeHTTP(w, r)
+			return
 		}
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,17 +1,20 @@
 // Package framing detects requests that two servers could read in different ways, and
 // refuses heads that are too large before net/http holds their fields.
 //
+// It finds the end of each request on a connection itself, and hands net/http the bytes of
+// one request at a time. So a verdict depends on the bytes of the request alone, and not on how
+// they were divided on their way or on what was sent with them.
+//
 // # Usage
 //
 //	listener := framing.Listener{Listener: listener, Now: time.Now, Limits: limits}
-//	server.ConnContext, server.ConnState = listener.ConnContext, listener.ConnState
+//	server.ConnContext = listener.ConnContext
 //	server.Serve(listener)
 //
 // and then, once in the handler of each request:
 //
-//	switch framing.Check(r.Context()) {
-//	case framing.Ambiguous: // refuse, and close the connection
-//	case framing.Unchecked: // the same, but the request may be sent again
+//	if framing.Check(r.Context()) == framing.Ambiguous {
+//		// refuse, and close the connection
 //	}
 //
 // A Listener is safe for concurrent use.
@@ -21,9 +24,7 @@
 	"bytes"
 	"context"
 	"net"
-	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,10 +55,11 @@
 	Bytes, Fields int
 }
 
-// Listener detects request heads with ambiguous framing that net/http accepts:
-// Content-Length together with Transfer-Encoding, bare line feeds and folded
-// lines. Two servers could disagree on where such a request ends. Set the methods
-// ConnState and ConnContext as the fields of the same name in http.Server.
+// Listener detects requests with ambiguous framing, also those that net/http accepts:
+// Content-Length together with Transfer-Encoding or repeated, Transfer-Encoding in
+// HTTP/1.0, bare line feeds and folded lines. Two servers could disagree on where such a
+// request ends. A chunked body that can be read in two ways ends with an error. Set the method
+// ConnContext as the field of the same name in http.Server.
 type Listener struct {
 	net.Listener
 	// Now returns the current time.
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &inspectedConn{Conn: c, listener: l, inHead: true}, nil
+	return &inspectedConn{Conn: c, listener: l}, nil
 }
 
 // ConnContext adds the framing check of the connection to the context of its
@@ -87,13 +89,6 @@
 	return ctx
 }
 
-// ConnState starts a new head when the connection becomes idle.
-func (Listener) ConnState(c net.Conn, state http.ConnState) {
-	if w, ok := c.(*inspectedConn); ok && state == http.StateIdle {
-		w.expectHead()
-	}
-}
-
 // checkKey is the context key of the framing check.
 type checkKey struct{}
 
@@ -103,12 +98,8 @@
 const (
 	// Clear heads can be read in one way only.
 	Clear Result = iota
-	// Ambiguous heads can be read in more than one way.
+	// Ambiguous requests can be read in more than one way, or follow such a request.
 	Ambiguous
-	// Unchecked heads were read together with the previous request, so that it is not
-	// known where they begin. Callers that send a request before they have the answer to
-	// the one before may meet that.
-	Unchecked
 )
 
 // Check returns the result for the head of the request with this context. It must be
@@ -121,13 +112,18 @@
 	return check()
 }
 
-// inspectedConn inspects the request heads that are read from a connection.
+// inspectedConn inspects the requests that are read from a connection.
 type inspectedConn struct {
 	net.Conn
 	listener Listener
 
-	mu     sync.Mutex
-	inHead bool
+	mu sync.Mutex
+	// pending holds bytes that were read after the end of the current request.
+	pending []byte
+	// inBody is set once the head of the current request has ended. body then finds the
+	// end of the request.
+	inBody bool
+	body   boundary
 	// lines is the number of line ends in the current head, and scanned the number of its
 	// bytes that were searched for its end.
 	lines, scanned int
@@ -135,24 +131,57 @@
 	head []byte
 	// uncheckedHeads counts the inspected heads whose requests were not checked yet.
 	uncheckedHeads int
-	// ambiguous is set once a head was ambiguous, and stays set.
+	// ambiguous is set once a request was ambiguous, and stays set: it is not known
+	// where the next one begins.
 	ambiguous bool
+	// problem is the error of the current body, or nil. It stays.
+	problem error
 }
 
 // NetConn returns the connection that is inspected.
 func (c *inspectedConn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns bytes of one request only.
 func (c *inspectedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		if reason := c.inspect(p[:n], len(p) == 1); reason != "" {
-			c.refuseHead(reason)
-			// net/http closes the connection without a response of its own.
-			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
-		}
+	n, err := c.readPending(p)
+	if n == 0 {
+		n, err = c.Conn.Read(p)
+	}
+	if n == 0 {
+		return n, err
+	}
+	used, reason, problem := c.inspect(p[:n])
+	if used == 0 && problem != nil {
+		return 0, problem
+	}
+	if reason != "" {
+		c.refuseHead(reason)
+		// net/http closes the connection without a response of its own.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
+	}
+	if used < n {
+		c.hold(p[used:n])
+		err = nil // the next call returns it
+	}
+	return used, err
+}
+
+// readPending returns bytes that were read before.
+func (c *inspectedConn) readPending(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.pending)
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
 	}
-	return n, err
+	return n, nil
+}
+
+// hold keeps bytes for the next request, before those that are held already.
+func (c *inspectedConn) hold(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = append(bytes.Clone(p), c.pending...)
 }
 
 // refuseHead responds to a head that is too large, and lets the client read that.
@@ -184,23 +213,43 @@
 	return closer.CloseWrite()
 }
 
-// inspect inspects bytes that were read and returns why their head is refused, or "".
-// net/http reads a single byte in the background to detect that the caller has
-// disconnected, so background means that the byte starts the next head.
-func (c *inspectedConn) inspect(p []byte, background bool) string {
+// inspect inspects bytes that were read. It returns how many of them belong to the current
+// request, why its head is refused, or "", and the error of its body.
+func (c *inspectedConn) inspect(p []byte) (used int, reason string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if background && !c.inHead {
-		c.startHead()
+	if c.problem != nil {
+		return 0, "", c.problem
+	}
+	if c.ambiguous {
+		return len(p), "", nil
+	}
+	if !c.inBody {
+		if used, reason = c.inspectHead(p); reason != "" || c.ambiguous || !c.inBody {
+			return used, reason, nil
+		}
+	}
+	n, err := c.body.consume(p[used:])
+	if err != nil {
+		c.problem, c.ambiguous = err, true
 	}
-	if !c.inHead {
-		return ""
+	if c.body.ended() {
+		c.inBody = false
 	}
+	return used + n, "", err
+}
+
+// inspectHead inspects bytes of a head. It returns how many of them belong to the head, and
+// why that is refused, or "". The caller holds the lock.
+func (c *inspectedConn) inspectHead(p []byte) (used int, reason string) {
 	if len(c.head) == 0 {
+		used = len(p)
 		p = bytes.TrimLeft(p, "\r\n") // net/http skips empty lines before a request
+		used -= len(p)
 	}
+	before := len(c.head)
 	c.head = append(c.head, p...)
-	end, bare := findHeadEnd(c.head, max(0, c.scanned-3))
+	end, size, bare := findHeadEnd(c.head, max(0, c.scanned-3))
 	searched := c.head
 	if end >= 0 {
 		searched = c.head[:end]
@@ -210,29 +259,42 @@
 	}
 	c.scanned = len(searched)
 	if reason := c.checkSize(len(searched)); reason != "" {
-		return reason
+		return used, reason
 	}
 	if end < 0 {
-		return ""
+		return used + len(p), ""
 	}
-	c.ambiguous = c.ambiguous || bare || isAmbiguousHead(string(searched))
+	body, unambiguous := newBoundary(string(searched))
+	c.body, c.inBody = body, true
 	c.uncheckedHeads++
-	c.inHead = false
-	c.head = nil
-	return ""
+	c.head, c.lines, c.scanned = nil, 0, 0
+	if bare || !unambiguous {
+		c.ambiguous = true
+		return used + len(p), ""
+	}
+	return used + size - before, ""
 }
 
-// findHeadEnd returns the index of the empty line that ends a head, -1 if there is none
-// from an index on. bare is set if the line before it ends with a bare line feed.
-func findHeadEnd(head []byte, from int) (end int, bare bool) {
-	end = bytes.Index(head[from:], []byte("\r\n\r\n"))
-	if i := bytes.Index(head[from:], []byte("\n\n")); i >= 0 && (end < 0 || i < end) {
-		end, bare = i, true
-	}
-	if end < 0 {
-		return -1, false
+// findHeadEnd returns the index of the end of a head's last line, -1 if no empty line follows
+// from an index on, and the size of the head with that. bare is set if one of both ends with a
+// bare line feed.
+func findHeadEnd(head []byte, from int) (end, size int, bare bool) {
+	for i := from; i < len(head); i++ {
+		if head[i] != '\n' {
+			continue
+		}
+		rest := head[i+1:]
+		switch {
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			if i > 0 && head[i-1] == '\r' {
+				return i - 1, i + 3, false
+			}
+			return i, i + 3, true
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return i, i + 2, true
+		}
 	}
-	return from + end, bare
+	return -1, 0, false
 }
 
 // checkSize returns why a head with a number of bytes so far is refused, or "". The caller
@@ -257,48 +319,15 @@
 	return ""
 }
 
-// startHead prepares for the next head. The caller holds the lock.
-func (c *inspectedConn) startHead() {
-	c.inHead, c.head, c.lines, c.scanned = true, nil, 0, 0
-}
-
-// expectHead prepares for the next head.
-func (c *inspectedConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.inHead {
-		c.startHead()
-	}
-}
-
-// checkHead returns the result for the head of the current request.
+// checkHead returns the result for the head of the current request. A request whose head has
+// not been found is one that net/http has read in another way. The error of a body, which may
+// have been found already, is for those who read it.
 func (c *inspectedConn) checkHead() Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.uncheckedHeads == 0 {
-		return Unchecked
-	}
-	c.uncheckedHeads--
-	if c.ambiguous {
+	if c.uncheckedHeads == 0 || c.ambiguous && c.problem == nil {
 		return Ambiguous
 	}
+	c.uncheckedHeads--
 	return Clear
 }
-
-// isAmbiguousHead reports whether a head can be parsed in more than one way.
-func isAmbiguousHead(head string) bool {
-	lengths, encodings := 0, 0
-	for i, line := range strings.Split(head, "\r\n") {
-		if strings.ContainsAny(line, "\n\r\x00") || i > 0 && strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") {
-			return true
-		}
-		name, _, _ := strings.Cut(line, ":")
-		switch strings.ToLower(strings.TrimSpace(name)) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			encodings++
-		}
-	}
-	return lengths > 1 || encodings > 1 || lengths+encodings > 1
-}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -113,9 +113,6 @@
 	notReadyRetryAfter = 300 * time.Millisecond
 	// noUpstreamRetryAfter is the Retry-After of a request that no upstream accepted.
 	noUpstreamRetryAfter = 400 * time.Millisecond
-	// pipelinedRetryAfter is the Retry-After of a request that has to come on a
-	// connection of its own.
-	pipelinedRetryAfter = 10 * time.Millisecond
 )
 
 // Handler is an http.Handler for callers' requests.
@@ -196,11 +193,8 @@
 
 // checkFraming returns an error if it is not certain where the request begins and ends.
 func checkFraming(r *http.Request) *verdict.Error {
-	switch framing.Check(r.Context()) {
-	case framing.Ambiguous:
+	if framing.Check(r.Context()) != framing.Clear {
 		return verdict.New(verdict.NotRun, http.StatusBadRequest, "unclear_framing", "the request can be read in two ways")
-	case framing.Unchecked:
-		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "pipelined", "the request was sent before the answer to the previous one").WithRetryAfter(pipelinedRetryAfter)
 	}
 	return nil
 }
