internal/beacon: a beacon that is too long is cut, not lost

Cause: prompts of many parts made beacons longer than the 16 KiB that VMs take, and each was lost as a whole.

Change: such a beacon leaves out prompts first, then other estimates, and only then what VMs must know of leases, versions and upstreams that leave; what is left out changes from beacon to beacon. beacon_entries_cut counts it.

--- a/internal/beacon/beacon.go
+++ b/internal/beacon/beacon.go
@@ -225,6 +225,9 @@
 	// Serve handles a direct message of another VM and returns the reply to it, nil for
 	// none. It runs on the goroutine that receives all datagrams. Nil serves none.
 	Serve func(now time.Time, from, kind string, body []byte) []byte
+	// Cut is called with the number of entries left out of a beacon that would be too long
+	// for a datagram, see Fit. Nil ignores it.
+	Cut func(entries int)
 	// Reject is called for each datagram that is no message. Nil ignores them.
 	Reject func(now time.Time, from net.Addr)
 	Log    zerolog.Logger
@@ -405,11 +408,14 @@
 		m.Peers = b.peerAddresses(now, maxPeersListed)
 	}
 	b.mu.Unlock()
-	raw, err := Pack(m)
+	raw, cut, err := Fit(m)
 	if err != nil {
 		b.opts.Log.Error().Err(err).Msg("beacon not sent")
 		return
 	}
+	if cut > 0 && b.opts.Cut != nil {
+		b.opts.Cut(cut)
+	}
 	for _, target := range targets {
 		// The next beacon replaces a lost datagram.
 		_, _ = b.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(target))
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -242,6 +242,9 @@
 	v.beacon = beacon.New(beacon.Options{
 		Name: v.settings.Name, Conn: conn, Now: v.opts.Now, Compose: v.composeBeacon, Receive: v.handleBeacon,
 		ReceiveStreams: v.receiveStreams, Serve: v.serveDirect, Reject: v.rejectDatagram, Log: v.log,
+		Cut: func(entries int) {
+			metrics.GetOrRegisterCounter("beacon_entries_cut", v.metrics).Inc(int64(entries))
+		},
 	})
 	v.addSeeds(v.settings)
 	return nil
