internal/rawjson: an integral number in any spelling is an integer

Cause: figures were read into integers, which encoding/json does only without a point and an exponent, and the settings' template made milliseconds by writing 000 behind seconds.

The template hands on seconds as they are, with fractions; fractions of milliseconds in settings are rounded.

--- a/internal/entryvm/settings.go
+++ b/internal/entryvm/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -41,8 +42,10 @@
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
 
-	// StopMS is the time from the platform's stop signal until it kills the VM.
-	StopMS int `json:"stop_ms"`
+	// StopMS is the time from the platform's stop signal until it kills the VM. StopS, in
+	// seconds, goes before it if it is set.
+	StopMS int     `json:"stop_ms"`
+	StopS  float64 `json:"stop_s,omitempty"`
 	// DrainMS is how long upstreams that leave go on serving.
 	DrainMS int `json:"drain_ms"`
 	// ContactMS is the time after a disruption, such as an outage of the store, from which
@@ -59,10 +62,12 @@
 	VersionMS      int `json:"version_ms"`
 	VersionTotalMS int `json:"version_total_ms"`
 	// RetryRatio, RetrySlack and RetryWindowMS set the retry budget; see
-	// retry.BudgetOptions.
+	// retry.BudgetOptions. RetryWindowS, in seconds, goes before RetryWindowMS if it is
+	// set.
 	RetryRatio    float64 `json:"retry_ratio"`
 	RetrySlack    float64 `json:"retry_slack"`
 	RetryWindowMS int     `json:"retry_window_ms"`
+	RetryWindowS  float64 `json:"retry_window_s,omitempty"`
 	// QuotaOver and QuotaSlack are what organisations may get beyond their quotas in 8 s; see
 	// quota.Tolerance.
 	QuotaOver    float64 `json:"quota_over"`
@@ -112,10 +117,39 @@
 		return Settings{}, nil, fmt.Errorf("entryvm: %w", err)
 	}
 	s := DefaultSettings()
-	problems := strictjson.Decode("settings", raw, &s)
+	problems := append(strictjson.Decode("settings", raw, &s), s.checkSeconds()...)
+	if len(problems) == 0 {
+		s = s.withSeconds()
+	}
 	return s, append(problems, s.Check()...), nil
 }
 
+// maxSeconds is the largest value of settings in seconds.
+const maxSeconds = 3_600
+
+// checkSeconds returns a problem for each invalid value in seconds.
+func (s Settings) checkSeconds() []strictjson.Problem {
+	var problems []strictjson.Problem
+	for field, value := range map[string]float64{"stop_s": s.StopS, "retry_window_s": s.RetryWindowS} {
+		if value < 0 || value > maxSeconds {
+			problems = append(problems, strictjson.Problem{Object: "settings", Field: field, Reason: fmt.Sprintf("%g is not between 0 and %d", value, maxSeconds)})
+		}
+	}
+	return problems
+}
+
+// withSeconds returns the settings with the values that are given in seconds.
+func (s Settings) withSeconds() Settings {
+	if s.StopS > 0 {
+		s.StopMS = int(math.Round(s.StopS * 1000))
+	}
+	if s.RetryWindowS > 0 {
+		s.RetryWindowMS = int(math.Round(s.RetryWindowS * 1000))
+	}
+	s.StopS, s.RetryWindowS = 0, 0
+	return s
+}
+
 // Check returns a problem for each invalid value.
 func (s Settings) Check() []strictjson.Problem {
 	var problems []strictjson.Problem
--- a/internal/entryvm/settings_test.go
+++ b/internal/entryvm/settings_test.go
@@ -108,3 +108,68 @@
 		})
 	}
 }
+
+// Guards against RECOVER: no VM starts again after a figure of the platform's bounds has become
+// a fraction, or is spelled with a point. Each figure is tried in each spelling.
+func TestSettingsTakeNumbersInAnySpelling(t *testing.T) {
+	figures := []string{
+		"bounds.grace_s", "bounds.drain_ms", "bounds.contact_ms", "bounds.lease_ms", "bounds.version_ms", "bounds.version_all_ms",
+		"bounds.retry_budget_ratio", "bounds.budget_slack", "bounds.budget_window_s", "limits.memory_mb", "limits.link_mbps",
+	}
+	for _, name := range figures {
+		plain := placeholderValues[name]
+		t.Run(name, func(t *testing.T) {
+			defer func() { placeholderValues[name] = plain }()
+			want, _ := loadSettings(t, fillTemplate(t))
+			for _, spelling := range []string{plain + "e0", strings.TrimSuffix(plain, ".0") + ".0", strings.TrimSuffix(plain, ".0") + "0e-1"} {
+				if strings.Contains(plain, ".") && strings.Count(spelling, ".") > 1 || name == "bounds.retry_budget_ratio" && !strings.HasSuffix(spelling, "e0") {
+					continue // no number, or another one
+				}
+				placeholderValues[name] = spelling
+				got, problems := loadSettings(t, fillTemplate(t))
+				if diff := cmp.Diff(want, got); diff != "" || problems != nil {
+					t.Errorf("%s: problems %q, settings (-want +got):\n%s", spelling, problems, diff)
+				}
+			}
+		})
+	}
+	fractions := map[string]struct {
+		name, value string
+		get         func(entryvm.Settings) any
+		want        any
+	}{
+		"time to stop":     {"bounds.grace_s", "7.5", func(s entryvm.Settings) any { return s.StopMS }, 7_500},
+		"budget's window":  {"bounds.budget_window_s", "9.25", func(s entryvm.Settings) any { return s.RetryWindowMS }, 9_250},
+		"milliseconds":     {"bounds.drain_ms", "2000.5", func(s entryvm.Settings) any { return s.DrainMS }, 2_001},
+		"budget's slack":   {"bounds.budget_slack", "57.5", func(s entryvm.Settings) any { return s.RetrySlack }, 57.5},
+		"ratio as integer": {"bounds.retry_budget_ratio", "1", func(s entryvm.Settings) any { return s.RetryRatio }, 1.0},
+	}
+	for name, test := range fractions {
+		t.Run(name, func(t *testing.T) {
+			plain := placeholderValues[test.name]
+			defer func() { placeholderValues[test.name] = plain }()
+			placeholderValues[test.name] = test.value
+			got, problems := loadSettings(t, fillTemplate(t))
+			if diff := cmp.Diff(test.want, test.get(got)); diff != "" || problems != nil {
+				t.Errorf("problems %q, value (-want +got):\n%s", problems, diff)
+			}
+		})
+	}
+	refused := map[string]struct{ name, value, field string }{
+		"negative":       {"bounds.grace_s", "-1", "stop_s"},
+		"far too large":  {"bounds.budget_window_s", "1e9", "retry_window_s"},
+		"fraction of MB": {"limits.memory_mb", "134.5", "memory_mb"},
+		"too large, ms":  {"bounds.lease_ms", "1e12", "lease_ms"},
+	}
+	for name, test := range refused {
+		t.Run(name, func(t *testing.T) {
+			plain := placeholderValues[test.name]
+			defer func() { placeholderValues[test.name] = plain }()
+			placeholderValues[test.name] = test.value
+			_, problems := loadSettings(t, fillTemplate(t))
+			if text := strings.Join(problems, "\n"); !strings.Contains(text, test.field) {
+				t.Errorf("problems %q, want one for the field %q", text, test.field)
+			}
+		})
+	}
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -19,8 +19,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"reflect"
 	"strings"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/rawjson"
 )
 
 // Problem is one mistake in a document.
@@ -43,10 +46,11 @@
 
 // Decode decodes raw into the struct that dst points to and returns every problem
 // found. Field names must match the json tags exactly, including case. Fields
-// without a problem are set even if others have one.
+// without a problem are set even if others have one. An integral number in any
+// spelling is an integer, and a fraction in a field that ends in _ms is rounded.
 func Decode(object string, raw []byte, dst any) []Problem {
 	d := decoder{object: object}
-	d.decodeValue("", raw, reflect.ValueOf(dst).Elem())
+	d.decodeValue("", rawjson.Integers(raw), reflect.ValueOf(dst).Elem())
 	return d.problems
 }
 
@@ -81,12 +85,25 @@
 	}
 	var e *json.UnmarshalTypeError
 	if errors.As(err, &e) {
+		if n, rounded := roundedMilliseconds(field, raw); rounded && dst.CanInt() && !dst.OverflowInt(n) {
+			dst.SetInt(n)
+			return
+		}
 		d.addProblem(field, "want %s, got %s", e.Type, e.Value)
 		return
 	}
 	d.addProblem(field, "%s", err)
 }
 
+// roundedMilliseconds returns a number of milliseconds with a fraction as a whole number.
+func roundedMilliseconds(field string, raw []byte) (n int64, rounded bool) {
+	var value float64
+	if !strings.HasSuffix(field, "_ms") || json.Unmarshal(raw, &value) != nil || math.Abs(value) > math.MaxInt32 {
+		return 0, false
+	}
+	return int64(math.Round(value)), true
+}
+
 func (d *decoder) decodeSlice(field string, raw []byte, dst reflect.Value) {
 	var items []json.RawMessage
 	if err := json.Unmarshal(raw, &items); err != nil {
