--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -153,8 +153,8 @@
 	// first one may be sent to an engine that the previous holder was changing.
 	ordersFrom, handoverEnd time.Time
 	// inherited holds the targets of the lease that was replaced, and is nil if it recorded
-	// none. They stay targets until
-	// inheritedUntil, so that the next holder waits for them as well.
+	// none. They stay targets until inheritedUntil, so that the next holder waits for them
+	// as well.
 	inherited      []string
 	inheritedUntil time.Time
 	// interrupted is set if the previous holder did not release its lease.
@@ -209,14 +209,6 @@
 // engine and the first one of the next holder.
 func (e *Elector) HandoverPeriod() time.Duration { return e.opts.HandoverDelay + handoverMargin }
 
-// HandoverEnd returns when the first order may be sent to an engine that the
-// previous holder was changing.
-func (e *Elector) HandoverEnd() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.handoverEnd
-}
-
 // Holds reports whether this VM holds the lease. It may still have to wait
 // before its first order, see MaySend.
 func (e *Elector) Holds(now time.Time) bool {
