review/lab2: an interrupted case ends its processes

A signal to the script's program ended it without its daemons: three were left after a SIGTERM. It now ends them, also after 110 s, and exits with 2.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -16,10 +16,12 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	exitHeld     = 0
 	exitBroken   = 1
 	exitNoResult = 2
+	// maxTime is the longest time that a case may take.
+	maxTime = 110 * time.Second
 )
 
 // lab holds what runs in a case.
@@ -38,6 +42,11 @@
 	started       time.Time
 	vms           []*vm
 
+	// starting is held while processes are started or ended. ending is set once none may
+	// be started any more.
+	starting sync.Mutex
+	ending   bool
+
 	// lateOrders is set while every second order to a worker is late.
 	lateOrders atomic.Bool
 	orderCount atomic.Int64
@@ -106,6 +115,7 @@
 // play plays the case and ends all processes.
 func (l *lab) play(play func(*lab) bool) (code int) {
 	defer l.killAll()
+	go l.endEarly()
 	defer func() {
 		cause := recover()
 		if cause == nil {
@@ -126,6 +136,21 @@
 	return exitHeld
 }
 
+// endEarly ends the case and its processes if it is interrupted or takes too long.
+func (l *lab) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		l.record("the case ends early: %v", s)
+	case <-time.After(maxTime):
+		l.record("the case ends early: it takes over %v", maxTime)
+	}
+	l.killAll()
+	_ = os.RemoveAll(l.dir) // it is in the folder for temporary files
+	os.Exit(exitNoResult)
+}
+
 // fail ends the case without a result.
 func (l *lab) fail(format string, args ...any) { panic(errNoResult{fmt.Sprintf(format, args...)}) }
 
--- a/review/lab2/vm.go
+++ b/review/lab2/vm.go
@@ -57,8 +57,8 @@
 		if err := os.WriteFile(v.settings, raw, 0o600); err != nil {
 			l.fail("settings: %v", err)
 		}
-		v.start()
 		l.vms = append(l.vms, v)
+		v.start()
 	}
 	for _, v := range l.vms {
 		l.await(v.name+" is ready", 15*time.Second, v.isReady)
@@ -68,6 +68,11 @@
 
 // start starts the process.
 func (v *vm) start() {
+	v.lab.starting.Lock()
+	defer v.lab.starting.Unlock()
+	if v.lab.ending {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(v.lab.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		v.lab.fail("log: %v", err)
@@ -118,7 +123,13 @@
 
 // killAll ends all processes and waits for their end.
 func (l *lab) killAll() {
+	l.starting.Lock()
+	defer l.starting.Unlock()
+	l.ending = true
 	for _, v := range l.vms {
+		if v.cmd == nil {
+			continue
+		}
 		_ = v.cmd.Process.Signal(syscall.SIGCONT)
 		_ = v.cmd.Process.Kill()
 		<-v.ended
