internal/connend: a reset amid an upload is no end of the response

Cause: the system reports a reset to one direction of a connection, whichever asks first. A request of more than 4 KiB is written beside the read of the response. If the write got ECONNRESET, the read that followed saw the end of the connection, and that is where a body without a length ends. The VM in between did the same to a relayed connection: its copy of the request took the error, and it wrote the marker of a regular end.

Fix: connend.Dialed wraps the connections of exchange.Dialer, which both use. A read that sees an end stops the write under way, waits for its error, and returns that in place of io.EOF. EPIPE is no loss: Linux reports a reset so after an end has arrived, and the response was whole by then. ETIMEDOUT and EHOSTUNREACH reach a write in the same way and count as loss.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -1,5 +1,6 @@
 // Package connend records how the connections of a server end, which net/http only
-// shows as the cancelled context of a request.
+// shows as the cancelled context of a request. For connections to servers, it tells an end
+// from a reset.
 //
 // # Usage
 //
@@ -11,6 +12,11 @@
 //
 //	state := connend.Of(r.Context())
 //
+// For a connection to a server:
+//
+//	conn := connend.Dialed(conn)
+//	n, err := conn.Read(p) // io.EOF only if the server has ended the connection
+//
 // All functions are safe for concurrent use.
 package connend
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 )
 
@@ -99,7 +100,11 @@
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	return d.dial(ctx, "tcp", address)
+	conn, err := d.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return connend.Dialed(conn), nil
 }
 
 // NewConn returns a Conn for one request on an open connection, which is closed when ctx
