internal/exchange: a status that does not exist is no response

Callers got answers with status 600 or 999 as they came, and in place of an answer with status 000 its body, if that read like a response (MIXED).

Cause: http.ReadResponse takes any three characters that are a number, also 000, 099 and +20. Whatever was below 200 counted as an interim response, so that the bytes behind it, which are its body, were read as the head of the response. 101 was passed over too, and the version of HTTP was not looked at.

Fix: Check refuses statuses outside 100 to 599, 101, and other versions than HTTP/1. The attempt has then broken off: 502, "may have run", and another attempt only for requests that may be repeated. Interim responses go through the same check. Reading heads moves to a file of its own.

Evidence: TestAnswersWithImpossibleStatus failed before in 59 of 165 cases, among them 000 with an answer as its body on each kind of route; TestStatus failed in 12 of 25. All pass now. 000 without such a body held before: the attempt ended as broken.

FuzzResponse compared with net/http alone, which accepts these statuses. Its reference now refuses them by a rule of its own; all else is compared as before.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -123,7 +123,8 @@
 
 func (c bytesConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
-// FuzzResponse checks that a response within the limits is read as net/http reads it.
+// FuzzResponse checks that a response within the limits is read as net/http reads it, unless
+// its status does not exist.
 func FuzzResponse(f *testing.F) {
 	for _, text := range endlessResponses {
 		f.Add([]byte(text[0]+text[1]), 1)
@@ -131,6 +132,7 @@
 	}
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"), 1)
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX: y\r\n\r\nelse"), 1)
+	f.Add([]byte("HTTP/1.1 000 No\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"), 1)
 	f.Fuzz(func(t *testing.T, raw []byte, repeat int) {
 		raw = bytes.Repeat(raw, min(max(repeat, 1), 200))
 		resp, err := exchange.ReadResponse(bytesConn{r: bytes.NewReader(raw)}, "GET")
@@ -161,8 +163,14 @@
 	r := bufio.NewReader(bytes.NewReader(raw))
 	for {
 		resp, err := http.ReadResponse(r, &http.Request{Method: "GET"})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if status := resp.StatusCode; status < 100 || status == 101 || status > 599 || !strings.HasPrefix(resp.Proto, "HTTP/1.") {
+			return nil, errors.New("no response")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,7 +22,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -174,8 +173,7 @@
 		if err != nil {
 			return Response{}, fmt.Errorf("exchange: read: %w", err)
 		}
-		rest := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), heads.r), bodyBufferBytes)
-		resp, err := http.ReadResponse(rest, &http.Request{Method: method})
+		resp, err := parse(head, heads.r, method)
 		if err != nil {
 			return Response{}, fmt.Errorf("exchange: read: %w", err)
 		}
@@ -193,42 +191,6 @@
 	return Response{}, fmt.Errorf("exchange: read: %w", &readlimit.Error{Kind: "head", Limit: maxInterimResponses, Unit: "interim responses"})
 }
 
-// headReader reads the heads of the responses on a connection.
-type headReader struct {
-	r *bufio.Reader
-	// bytes and lines count what was read of all heads.
-	bytes, lines int
-}
-
-// next returns the bytes of the next head, with the empty line at its end.
-func (h *headReader) next() ([]byte, error) {
-	var head []byte
-	lineStart := 0
-	for {
-		part, err := h.r.ReadSlice('\n')
-		head = append(head, part...)
-		if h.bytes += len(part); h.bytes > maxHeadBytes {
-			return nil, readlimit.Bytes("head", maxHeadBytes)
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return nil, err
-		}
-		if h.lines++; h.lines > maxHeadLines {
-			return nil, &readlimit.Error{Kind: "head", Limit: maxHeadLines, Unit: "lines"}
-		}
-		if line := head[lineStart:]; len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return head, nil
-		}
-		lineStart = len(head)
-	}
-}
-
 // encodeHead encodes the request line and the header fields.
 func (q Request) encodeHead() []byte {
 	var b bytes.Buffer
--- /dev/null
+++ b/internal/exchange/head.go
@@ -0,0 +1,76 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
+)
+
+// parse returns the response with a head, whose body follows in body.
+func parse(head []byte, body io.Reader, method string) (*http.Response, error) {
+	r := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), body), bodyBufferBytes)
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err == nil {
+		err = Check(resp)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// Check returns an error for a response that net/http accepts although HTTP/1 has no such
+// response, and for one that switches protocols, which no request here asks for.
+func Check(resp *http.Response) error {
+	const minStatus, maxStatus = 100, 599
+	switch status := resp.StatusCode; {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("malformed response: version %q", resp.Proto)
+	case status < minStatus || status > maxStatus:
+		return fmt.Errorf("malformed response: status %q is out of range", resp.Status)
+	case status == http.StatusSwitchingProtocols:
+		return errors.New("malformed response: the protocol is switched without a request for it")
+	}
+	return nil
+}
+
+// headReader reads the heads of the responses on a connection.
+type headReader struct {
+	r *bufio.Reader
+	// bytes and lines count what was read of all heads.
+	bytes, lines int
+}
+
+// next returns the bytes of the next head, with the empty line at its end.
+func (h *headReader) next() ([]byte, error) {
+	var head []byte
+	lineStart := 0
+	for {
+		part, err := h.r.ReadSlice('\n')
+		head = append(head, part...)
+		if h.bytes += len(part); h.bytes > maxHeadBytes {
+			return nil, readlimit.Bytes("head", maxHeadBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if h.lines++; h.lines > maxHeadLines {
+			return nil, &readlimit.Error{Kind: "head", Limit: maxHeadLines, Unit: "lines"}
+		}
+		if line := head[lineStart:]; len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return head, nil
+		}
+		lineStart = len(head)
+	}
+}
