internal/exchange: a field name with a blank makes a head unreadable

Cause: net/textproto keeps such a name as it is, for "Content-Length : 5" of old servers. The field then counts for nothing here, while the upstream meant it: without its length or coding a body ends with the connection.

The attempt has broken off, also if another line says that the request has not run: a head that can't be read proves nothing.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 )
@@ -24,6 +25,9 @@
 	return resp, nil
 }
 
+// isControl reports whether a status line must not hold the byte.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
+
 // Check returns an error for a response that net/http accepts although HTTP/1 has no such
 // response, and for one that switches protocols, which no request here asks for.
 func Check(resp *http.Response) error {
@@ -35,6 +39,14 @@
 		return fmt.Errorf("malformed response: status %q is out of range", resp.Status)
 	case status == http.StatusSwitchingProtocols:
 		return errors.New("malformed response: the protocol is switched without a request for it")
+	case strings.ContainsFunc(resp.Status, isControl):
+		return fmt.Errorf("malformed response: status %q", resp.Status)
+	}
+	for name := range resp.Header {
+		// Other names that are no tokens are refused by net/http.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("malformed response: field name %q", name)
+		}
 	}
 	return nil
 }
