internal/exchange: chunks in HTTP/1.0 make a head unreadable

Cause: net/http ignores Transfer-Encoding there, as HTTP/1.0 has none, and reads the coded bytes up to the end of the connection or the length beside it.

Fix: the head is refused, as RFC 9112, section 6.1, wants, and the attempt has broken off.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -19,6 +19,9 @@
 	if err == nil {
 		err = Check(resp)
 	}
+	if err == nil {
+		err = checkCoding(head, resp)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -28,6 +31,21 @@
 // isControl reports whether a status line must not hold the byte.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
 
+// checkCoding returns an error for a response in HTTP/1.0 with a transfer coding, which that
+// does not have: net/http ignores it, so that the body would be the coded one (RFC 9112,
+// section 6.1).
+func checkCoding(head []byte, resp *http.Response) error {
+	if resp.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	for line := range bytes.Lines(head) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return fmt.Errorf("malformed response: a transfer coding in %s", resp.Proto)
+		}
+	}
+	return nil
+}
+
 // Check returns an error for a response that net/http accepts although HTTP/1 has no such
 // response, and for one that switches protocols, which no request here asks for.
 func Check(resp *http.Response) error {
