internal/relay: the VM in between looks at the final head, read as its peer does

A VM that relays a connection also learns from the head of the response whether the upstream leaves, backs off or names a limit. It took an interim response, or the head of an answer that its peer refuses as broken, for that head. Callers of that VM were sent to other upstreams, or were refused, on the word of bytes that are no answer; what the final head behind an interim one said was lost.

Cause: a second reader of heads, with http.ReadResponse on the bytes up to the first empty line.

Fix: it uses the reader of package exchange, now exchange.Read, with its checks and its interim responses, as soon as a line ends.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -116,14 +116,6 @@
 	return l.Addr().String(), closed
 }
 
-// bytesConn is a connection on which bytes have arrived.
-type bytesConn struct {
-	net.Conn
-	r io.Reader
-}
-
-func (c bytesConn) Read(p []byte) (int, error) { return c.r.Read(p) }
-
 // FuzzResponse checks that a response within the limits is read as net/http reads it, unless
 // its head can be read in another way too.
 func FuzzResponse(f *testing.F) {
@@ -138,7 +130,7 @@
 	f.Add([]byte("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), 1)
 	f.Fuzz(func(t *testing.T, raw []byte, repeat int) {
 		raw = bytes.Repeat(raw, min(max(repeat, 1), 200))
-		resp, err := exchange.ReadResponse(bytesConn{r: bytes.NewReader(raw)}, "GET")
+		resp, err := exchange.Read(bytes.NewReader(raw), "GET")
 		var tooLong *readlimit.Error
 		if errors.As(err, &tooLong) {
 			return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,7 +19,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -30,7 +29,6 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/connend"
-	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 )
 
 const (
@@ -162,33 +160,7 @@
 			_, _ = buffers.WriteTo(c.conn)
 		}()
 	}
-	return c.readResponse(q.Method)
-}
-
-// readResponse reads the head of the final response to a request of the given method.
-func (c *Conn) readResponse(method string) (Response, error) {
-	heads := headReader{r: bufio.NewReaderSize(c.conn, headBufferBytes)}
-	for range maxInterimResponses {
-		head, err := heads.next()
-		if err != nil {
-			return Response{}, fmt.Errorf("exchange: read: %w", err)
-		}
-		resp, err := parse(head, heads.r, method)
-		if err != nil {
-			return Response{}, fmt.Errorf("exchange: read: %w", err)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			length := resp.ContentLength
-			if method == http.MethodHead {
-				length = 0
-			}
-			return Response{
-				Status: resp.StatusCode, Header: resp.Header, Length: length,
-				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body,
-			}, nil
-		}
-	}
-	return Response{}, fmt.Errorf("exchange: read: %w", &readlimit.Error{Kind: "head", Limit: maxInterimResponses, Unit: "interim responses"})
+	return Read(c.conn, q.Method)
 }
 
 // encodeHead encodes the request line and the header fields.
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -12,6 +12,34 @@
 	"github.com/hibiscuscove/hibiscuscove/internal/readlimit"
 )
 
+// Read reads the head of the final response to a request of the given method. The body is
+// read from r later. The error is a *readlimit.Error if the head is too long, and wraps
+// io.ErrUnexpectedEOF if r ends before it does.
+func Read(r io.Reader, method string) (Response, error) {
+	heads := headReader{r: bufio.NewReaderSize(r, headBufferBytes)}
+	for range maxInterimResponses {
+		head, err := heads.next()
+		if err != nil {
+			return Response{}, fmt.Errorf("exchange: read: %w", err)
+		}
+		resp, err := parse(head, heads.r, method)
+		if err != nil {
+			return Response{}, fmt.Errorf("exchange: read: %w", err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			length := resp.ContentLength
+			if method == http.MethodHead {
+				length = 0
+			}
+			return Response{
+				Status: resp.StatusCode, Header: resp.Header, Length: length,
+				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body,
+			}, nil
+		}
+	}
+	return Response{}, fmt.Errorf("exchange: read: %w", &readlimit.Error{Kind: "head", Limit: maxInterimResponses, Unit: "interim responses"})
+}
+
 // parse returns the response with a head, whose body follows in body.
 func parse(head []byte, body io.Reader, method string) (*http.Response, error) {
 	r := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), body), bodyBufferBytes)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -125,26 +125,30 @@
 	}
 }
 
-// headObserver passes on the head of a response once it is complete.
+// headObserver passes on the head of the final response once it is complete.
 type headObserver struct {
 	observe func(resp exchange.Response)
-	head    []byte
-	done    bool
+	// received holds the bytes up to the end of that head.
+	received []byte
+	done     bool
 }
 
 func (o *headObserver) add(part []byte) {
 	if o.done {
 		return
 	}
-	o.head = append(o.head, part[:min(len(part), maxObservedBytes-len(o.head))]...)
-	if !bytes.Contains(o.head, []byte("\r\n\r\n")) && len(o.head) < maxObservedBytes {
+	o.received = append(o.received, part[:min(len(part), maxObservedBytes-len(o.received))]...)
+	full := len(o.received) == maxObservedBytes
+	if !full && bytes.IndexByte(part, '\n') < 0 {
+		return // no line ends here
+	}
+	resp, err := exchange.Read(bytes.NewReader(o.received), http.MethodGet)
+	if errors.Is(err, io.ErrUnexpectedEOF) && !full {
 		return
 	}
-	o.done = true
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(o.head)), nil)
-	o.head = nil
+	o.done, o.received = true, nil
 	if err == nil {
-		o.observe(exchange.Response{Status: resp.StatusCode, Header: resp.Header})
+		o.observe(exchange.Response{Status: resp.Status, Header: resp.Header})
 	}
 }
 
