internal/engineapi: a reset amid an upload is no end of the response here either

Callers of the own API got a part of a plain service's response as the whole one when the service answered a long request at once without a length and reset the connection.

Fix: the client's connections come from exchange.Dialer, so that such a read returns the error of the reset. The dial timeout and the keep-alive probes stay.

Evidence: TestResponseAmidUploadIsCompleteOnlyIfEnded failed before in 3 of 10 cases: reset, closed with bytes of the request unread, reset without a body. All pass now, and the tests of internal/node do.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -1,6 +1,7 @@
 // Package engineapi is the HTTP client of the router's own API for model engines
 // and plain services. The wire format of their messages is defined in this package
-// only. Host-and-path traffic uses package exchange instead.
+// only. Host-and-path traffic uses package exchange instead, whose connections this
+// package shares.
 //
 // Engines implement the OpenAI API. In addition, they number the events of a
 // stream in the id field, resume a stream after the event in the Last-Event-ID
@@ -31,6 +32,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/stream"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
@@ -85,8 +87,9 @@
 func NewClient(opts ClientOptions) *Client {
 	opts.DialTimeout = orDefault(opts.DialTimeout, defaultDialTimeout)
 	opts.ProbeTimeout = orDefault(opts.ProbeTimeout, defaultProbeTimeout)
+	dialer := exchange.NewDialer(exchange.DialerOptions{ConnectTimeout: opts.DialTimeout, Dial: (&net.Dialer{}).DialContext})
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
+		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
