internal/engineapi: responses that are none are not passed on

Callers of the own API got responses with status 600, fields whose names hold a blank, and bodies of another length than the upstream's; status 000 ended their connection by a panic of net/http, and "not run" beside it was believed.

--- a/internal/engineapi/broken_test.go
+++ b/internal/engineapi/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +113,54 @@
 		})
 	}
 }
+
+// Guards against responses that are none, with a status that does not exist or a head that
+// can be read in more than one way, and that are passed on or count as "not run".
+func TestMalformedResponses(t *testing.T) {
+	const length, chunks, inner = "Content-Length: 4\r\n\r\nfine", "\r\n4\r\nfine\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nelse"
+	const interim, notRun = "HTTP/1.1 103 Early Hints\r\n\r\n", engineapi.HeaderNotRun + ": 1\r\n"
+	fine := outcome{200, "fine", true, ""}
+	tests := map[string]struct {
+		raw  string
+		want outcome
+	}{
+		"000":                            {"HTTP/1.1 000 No\r\n" + length, failed},
+		"000 and not run":                {"HTTP/1.1 000 No\r\n" + notRun + length, failed},
+		"000 before a response":          {"HTTP/1.1 000 No\r\n\r\n" + inner, failed},
+		"000 after an interim response":  {interim + "HTTP/1.1 000 No\r\n" + length, failed},
+		"099":                            {"HTTP/1.1 099 No\r\n" + length, failed},
+		"600":                            {"HTTP/1.1 600 No\r\n" + length, failed},
+		"999":                            {"HTTP/1.1 999 No\r\n" + length, failed},
+		"a sign":                         {"HTTP/1.1 +20 No\r\n" + length, failed},
+		"protocol switched":              {"HTTP/1.1 101 No\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + inner, failed},
+		"a later HTTP":                   {"HTTP/2.0 200 OK\r\n" + length, failed},
+		"blank before the colon":         {"HTTP/1.1 200 OK\r\nX : y\r\n" + length, failed},
+		"blank in a name":                {"HTTP/1.1 200 OK\r\nX Y: y\r\n" + length, failed},
+		"blank in a name and not run":    {"HTTP/1.1 503 Full\r\nX Y: y\r\n" + notRun + length, failed},
+		"length, blank":                  {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nfine", failed},
+		"chunks, blank":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + chunks, failed},
+		"chunks in HTTP/1.0":             {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, failed},
+		"control byte in a name":         {"HTTP/1.1 200 OK\r\nX\x01Y: y\r\n" + length, failed},
+		"tab before the colon":           {"HTTP/1.1 200 OK\r\nX\t: y\r\n" + length, failed},
+		"blank in a name of an interim":  {"HTTP/1.1 103 Early Hints\r\nX : y\r\n\r\nHTTP/1.1 200 OK\r\n" + length, failed},
+		"no response":                    {"good day\r\n\r\n", failed},
+		"cut after an interim response":  {interim + "HTTP/1.1 200 OK\r\n", failed},
+		"sound":                          {"HTTP/1.1 200 OK\r\n" + length, fine},
+		"sound chunks":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, fine},
+		"sound until the end":            {"HTTP/1.1 200 OK\r\n\r\nfine", fine},
+		"sound after interim responses":  {interim + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + length, fine},
+		"sound HTTP/1.0":                 {"HTTP/1.0 200 OK\r\n\r\nfine", fine},
+		"sound, with a large head":       {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 30<<10) + "\r\n" + length, fine},
+		"sound, more than the response":  {"HTTP/1.1 200 OK\r\n" + length + inner, fine},
+		"not run":                        {"HTTP/1.1 503 Full\r\n" + notRun + "Content-Length: 0\r\n\r\n", outcome{Verdict: "not_run"}},
+		"sound, split after a long head": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 5000) + "\r\n\r\nfine", fine},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if diff := cmp.Diff(test.want, call(t, serveRaw(t, test.raw, func(*net.TCPConn) {}), []byte("{}"))); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,11 +104,6 @@
 	return connend.Dialed(conn), nil
 }
 
-// DialContext is Dial for an http.Transport that uses each connection for one request.
-func (d *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	return d.Dial(ctx, address)
-}
-
 // NewConn returns a Conn for one request on an open connection, which is closed when ctx
 // is done.
 func NewConn(ctx context.Context, conn net.Conn) *Conn {
