internal/link: a reset amid a call is no end of the reply

A node took a part of a peer's reply, or an empty one, for the whole reply when the connection was reset while the call was being sent: fewer results of a commit to the ledger, or an answer to an accusation that names no other trial. Messages in protobuf don't tell their own end, so that a cut one decodes.

Our own nodes state the length of each reply, which shows a cut; what answers at a reused address may not.

Fix: both transports of the client dial through connend.DialFunc.Dialed, which exchange.Dialer uses now too.

--- a/internal/connend/dialed.go
+++ b/internal/connend/dialed.go
@@ -1,6 +1,7 @@
 package connend
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -19,6 +20,18 @@
 // has returned io.EOF, writes fail.
 func Dialed(c net.Conn) net.Conn { return &dialed{Conn: c} }
 
+// DialFunc opens connections, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialed is d with its connections wrapped by the function Dialed.
+func (d DialFunc) Dialed(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return Dialed(c), nil
+}
+
 type dialed struct {
 	net.Conn
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,7 +62,7 @@
 // Dialer opens connections to upstreams.
 type Dialer struct {
 	timeout time.Duration
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	dial    connend.DialFunc
 }
 
 // NewDialer returns a Dialer.
@@ -97,11 +97,7 @@
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	conn, err := d.dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return connend.Dialed(conn), nil
+	return d.dial.Dialed(ctx, "tcp", address)
 }
 
 // NewConn returns a Conn for one request on an open connection, which is closed when ctx
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
 )
 
@@ -60,7 +61,7 @@
 
 // NewClient returns a Client.
 func NewClient(opts ClientOptions) *Client {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	dial := connend.DialFunc((&net.Dialer{Timeout: dialTimeout}).DialContext).Dialed
 	pooled := &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer, MaxResponseHeaderBytes: maxHeadBytes}
 	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
