internal/exchange: calls to the store, peers and engines refuse the same heads

The router took answers to its own calls in whose head the name of a field held a blank: lists and events whose length it had not read, a write to the own store with version 0 as its "ETag " was no field, and refusals and conflicts that prove that nothing was done.

Cause: these clients keep their connections in an http.Transport, which reads heads with the code of net/http that package exchange no longer trusts alone.

Fix: Transport, an http.RoundTripper, passes their responses through Check, and closes the connection of one that fails.

--- a/internal/entryvm/download.go
+++ b/internal/entryvm/download.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/pageserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/registry"
 )
@@ -37,7 +38,7 @@
 // newPeerClient returns the client that fetches states from other VMs. Fetches are rare,
 // and each has a connection of its own: kept ones may have fallen silent, all at once.
 func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	return &http.Client{Transport: exchange.Transport{RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}}
 }
 
 func newPageClient(c *http.Client) *pageserver.Client {
--- a/internal/entryvm/limits.go
+++ b/internal/entryvm/limits.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 	"github.com/hibiscuscove/hibiscuscove/internal/permit"
 )
@@ -36,7 +37,7 @@
 // while a limit is in force.
 func newPermitClient() *http.Client {
 	pooled := &http.Transport{MaxIdleConnsPerHost: maxPermitConns, IdleConnTimeout: maxPermitIdle, MaxResponseHeaderBytes: maxPeerHeadBytes}
-	return &http.Client{Timeout: peerTimeout, Transport: keepalive.Pool{Transport: pooled}}
+	return &http.Client{Timeout: peerTimeout, Transport: exchange.Transport{RoundTripper: keepalive.Pool{Transport: pooled}}}
 }
 
 func (v *VM) buildLimits() {
--- a/internal/entryvm/streams.go
+++ b/internal/entryvm/streams.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/beacon"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/lineage"
 )
 
@@ -24,7 +25,7 @@
 // newStreamsClient returns the client that asks other VMs for streams. Each question has a
 // connection of its own: there is no time to find out that a kept one has fallen silent.
 func newStreamsClient() *http.Client {
-	return &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}
+	return &http.Client{Timeout: peerTimeout, Transport: exchange.Transport{RoundTripper: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeadBytes}}}
 }
 
 func (v *VM) buildStreams() {
--- a/internal/link/broken_test.go
+++ b/internal/link/broken_test.go
@@ -74,6 +74,8 @@
 		"head, cut":              {head + protobuf, closeInOrder, false},
 		"000":                    {"HTTP/1.1 000 No\r\n" + protobuf + sized, closeInOrder, false},
 		"600":                    {"HTTP/1.1 600 No\r\n" + protobuf + sized, closeInOrder, false},
+		"length, blank":          {head + protobuf + "Content-Length : 99\r\n" + body, closeInOrder, false},
+		"blank before the colon": {head + "X : y\r\n" + protobuf + sized, closeInOrder, false},
 		"control byte in a name": {head + "X\x01: y\r\n" + protobuf + sized, closeInOrder, false},
 		"whole":                  {head + protobuf + sized, closeInOrder, true},
 		"whole, reset":           {head + protobuf + sized, reset, true},
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/connend"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/peerrpc"
 )
 
@@ -65,8 +66,8 @@
 	pooled := &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer, MaxResponseHeaderBytes: maxHeadBytes}
 	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
-		pooled: &http.Client{Transport: tokenTransport{token: opts.Token, next: pooled}},
-		fresh:  &http.Client{Transport: tokenTransport{token: opts.Token, next: fresh}},
+		pooled: &http.Client{Transport: tokenTransport{token: opts.Token, next: exchange.Transport{RoundTripper: pooled}}},
+		fresh:  &http.Client{Transport: tokenTransport{token: opts.Token, next: exchange.Transport{RoundTripper: fresh}}},
 		peers:  make(map[string]peerClients),
 	}
 }
--- a/internal/objectstore/httpstore.go
+++ b/internal/objectstore/httpstore.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/keepalive"
 )
 
@@ -56,12 +57,12 @@
 	if opts.WatchTimeout <= 0 {
 		opts.WatchTimeout = defaultWatchTimeout
 	}
-	transport := keepalive.Pool{Transport: &http.Transport{
+	transport := exchange.Transport{RoundTripper: keepalive.Pool{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    32,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}}}
 	return &HTTPStore{
 		opts:   opts,
 		client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -17,6 +17,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 )
 
 // Role is the purpose of a VM.
@@ -68,7 +70,7 @@
 // NewHTTPLister returns an HTTPLister for the endpoint /vms under url.
 func NewHTTPLister(url string) *HTTPLister {
 	return &HTTPLister{url: strings.TrimSuffix(url, "/") + "/vms", client: &http.Client{
-		Timeout: listTimeout, Transport: &http.Transport{IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes},
+		Timeout: listTimeout, Transport: exchange.Transport{RoundTripper: &http.Transport{IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 	}}
 }
 
