internal/ingress: a stream ends only where an upstream has gone on with it

Callers found an error's text, or its whole head, in the middle of their stream, or a stream that ended as if it were complete (ORDER): one upstream had broken off, and the next one answered with a stream that did not go on with it.

Cause: once the caller had events, the end of any other upstream's stream was the end of the answer, also without a single event and without a length or chunks, as when that upstream has crashed. An event without an ID was passed on, though the place of an event in a stream that was taken up is known by its ID alone; that is where an error comes. A comment was enough to take over.

Fix: for an upstream that has yet to go on, an end without a length or chunks is a break, as it is before the first event of an answer; so is an event without an ID; comments are not passed on. Then the next attempt follows, or the stream is cut. An end that a length or chunks tell still ends the stream: the one before may have broken off after its last event.

What held: errors with a status of their own, answers that are no stream, unsigned ones, ones of other requests, broken heads and cut events. Takeovers from silent upstreams (TestSecondUpstreamTakesOverOnlyIfItGoesOn) are unchanged.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -40,6 +40,8 @@
 	Raw []byte
 	// ID is the value of the last id field, or empty.
 	ID string
+	// Comment is set if the event consists of comments.
+	Comment bool
 }
 
 // Reader reads events of up to 128 KiB from a stream of up to 64 MiB.
@@ -62,7 +64,7 @@
 // the stream is too long.
 func (r *Reader) Next() (Event, error) {
 	var event Event
-	hasField := false
+	hasField, hasName := false, false
 	lineStart := 0
 	for {
 		part, err := r.r.ReadSlice('\n')
@@ -90,9 +92,11 @@
 		lineStart = len(event.Raw)
 		if len(line) == 0 && hasField {
 			r.begun = true
+			event.Comment = !hasName
 			return event, nil
 		}
 		hasField = hasField || len(line) > 0
+		hasName = hasName || len(line) > 0 && line[0] != ':'
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			event.ID = string(bytes.TrimSpace(id))
 		}
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -72,6 +72,7 @@
 		err  error
 	}{
 		"two events":               {"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n", []eventstream.Event{{Raw: []byte("id: 1\ndata: a\n\n"), ID: "1"}, {Raw: []byte("id:2\r\ndata: b\r\n\r\n"), ID: "2"}}, io.EOF},
+		"comments":                 {": wait\n\n:\ndata: a\n\n", []eventstream.Event{{Raw: []byte(": wait\n\n"), Comment: true}, {Raw: []byte(":\ndata: a\n\n")}}, io.EOF},
 		"long":                     {long, []eventstream.Event{{Raw: []byte(long)}}, io.EOF},
 		"empty":                    {"", nil, io.EOF},
 		"empty lines at the end":   {"id: 1\ndata: a\n\n\r\n\n", []eventstream.Event{one, {Raw: []byte("\r\n\n")}}, io.EOF},
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -32,7 +32,7 @@
 	switch {
 	case !slices.Contains(j.legs, l):
 		return false, nil // the leg has been dropped
-	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && j.headSent:
+	case r.Err != nil && errors.Is(r.Err, io.EOF) && l.Begun && l.Head.IsStream(l.Response) && j.headSent && j.mayEndStream(l):
 		j.runs++
 		j.endLeg(l)
 		if len(j.legs) > 0 && !l.Forwarded {
@@ -56,6 +56,8 @@
 	case r.Response != nil:
 		l.Response, l.Head = *r.Response, r.Head
 		return false, j.handleHead(ctx, l)
+	case r.Event != nil && j.continues(l) && r.Event.ID == "" && !r.Event.Comment:
+		return false, j.handleBroken(ctx, l, errors.New("an event without an ID in place of the next one of the stream"))
 	case r.Event != nil:
 		return false, j.forwardEvent(l, *r.Event)
 	default:
@@ -65,6 +67,16 @@
 	}
 }
 
+// continues reports whether a leg has yet to go on with a stream that another one has begun.
+func (j *job) continues(l *leg.Leg) bool { return j.headSent && j.lastEvent != "" && !l.Forwarded }
+
+// mayEndStream reports whether the end of a leg's events is that of the stream, or can be
+// passed over since another leg is under way. Without a length or chunks, an end before the
+// first event may be a crash.
+func (j *job) mayEndStream(l *leg.Leg) bool {
+	return l.Forwarded || l.Response.Delimited || len(j.legs) > 1
+}
+
 // handleHead handles the head of a response.
 func (j *job) handleHead(ctx context.Context, l *leg.Leg) error {
 	now, head := j.h.opts.Now(), l.Head
@@ -256,6 +268,9 @@
 	if j.headSent && j.lastEvent != "" && event.ID != "" && !isLaterEvent(event.ID, j.lastEvent) {
 		return nil
 	}
+	if j.continues(l) && event.Comment {
+		return nil // the stream has not gone on
+	}
 	j.dropOthers(l)
 	if !j.headSent {
 		j.startStream(l)
