internal/eventstream: a line that is no field is no event

Callers found the status line and the head of an error among their events when a worker wrote the error into the stream that it had begun without chunks; with an empty error the stream even ended as complete (ORDER, MIXED).

Cause: events were told apart by empty lines alone, so that whatever ended with one was passed on as an event. In a body without a length, bytes behind the stream belong to the body.

Fix: a line whose field name holds a blank or a control byte ends the stream with an error, before any line of that event has been passed on. These are the names that a head may not have either; readers of events ignore them. Comments, values, and unknown names without a blank pass as before.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -34,6 +34,11 @@
 	maxStreamBytes = 64 << 20
 )
 
+// ErrNoField means that the name of a field holds a blank or a control byte. Readers of
+// events ignore such a line, but it comes from something else: the status line of a response,
+// or the text of an error.
+var ErrNoField = errors.New("eventstream: a line is no field of an event")
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw holds the bytes of the event with the empty line at its end.
@@ -60,8 +65,8 @@
 
 // Next returns the next event. Empty lines after the last event are returned as one
 // without fields. It returns io.EOF if the stream ends after a complete event or has
-// none, io.ErrUnexpectedEOF if it ends within one, and a *readlimit.Error if the event or
-// the stream is too long.
+// none, io.ErrUnexpectedEOF if it ends within one, a *readlimit.Error if the event or
+// the stream is too long, and ErrNoField for a line that is none.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	hasField, hasName := false, false
@@ -95,6 +100,9 @@
 			event.Comment = !hasName
 			return event, nil
 		}
+		if !hasFieldName(line) {
+			return Event{}, ErrNoField
+		}
 		hasField = hasField || len(line) > 0
 		hasName = hasName || len(line) > 0 && line[0] != ':'
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
@@ -102,3 +110,12 @@
 		}
 	}
 }
+
+// hasFieldName reports whether the name in a line, if there is one, may be that of a field.
+func hasFieldName(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return !bytes.ContainsFunc(name, func(c rune) bool {
+		// Lines may also end with a carriage return alone.
+		return c <= ' ' && c != '\r' || c == '\x7f'
+	})
+}
