internal/ingress: a cut stream is reset for callers without chunks

A caller that speaks HTTP/1.0 got a stream that was cut as a complete one.

Cause: a cut stream ends by closing the caller's connection without the last chunk. In HTTP/1.0 there are no chunks, so that the end of the connection is the end of the answer.

Fix: there the connection is reset on closing (connend.ResetOnClose), also if the handler panics amid an answer. Connections of HTTP/1.1 are closed as before, since a reset may overtake events. Whole answers of other kinds state their length.

Evidence: TestCutStreamsOfOtherCallers failed before in 2 of 8 cases, both in HTTP/1.0; all pass now. HTTP/1.1 held, with Connection: close too.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -163,25 +163,42 @@
 	return ok && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
 }
 
+// ResetOnClose lets the connection of a request be reset when it is closed, so that its peer
+// does not take that for the end of the answer. It does nothing for requests that came through
+// no Listener.
+func ResetOnClose(ctx context.Context) {
+	control(ctx, func(fd int) error {
+		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
+
 // tcpInfo returns what the system knows of the connection of a request.
 func tcpInfo(ctx context.Context) (info *unix.TCPInfo, ok bool) {
+	ok = control(ctx, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	return info, ok
+}
+
+// control calls f with the descriptor of the connection of a request, and reports whether
+// there is one and f has succeeded.
+func control(ctx context.Context, f func(fd int) error) (ok bool) {
 	c, found := ctx.Value(connKey{}).(*conn)
 	if !found {
-		return nil, false
+		return false
 	}
 	system, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return nil, false
+		return false
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return nil, false
+		return false
 	}
-	var infoErr error
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return info, err == nil && infoErr == nil
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = f(int(fd)) })
+	return err == nil && failed == nil
 }
 
 type connKey struct{}
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -132,5 +132,5 @@
 // abort ends the caller's connection without a complete answer.
 func (j *job) abort(reason string) {
 	j.h.incCounter("requests_unanswered." + reason)
-	panic(http.ErrAbortHandler)
+	j.h.abort(j.r)
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -25,6 +25,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/connend"
 	"github.com/hibiscuscove/hibiscuscove/internal/dispatch"
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 	"github.com/hibiscuscove/hibiscuscove/internal/framing"
@@ -209,7 +210,7 @@
 	h.opts.Log.Error().Str("request", j.Head.ID).Str("target", r.RequestURI).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("handler panicked")
 	if j.responding {
 		h.incCounter("requests_unanswered.panic")
-		panic(http.ErrAbortHandler)
+		h.abort(r)
 	}
 	e := verdict.New(verdict.NotRun, http.StatusInternalServerError, "internal_error", "the router failed")
 	if j.runs > 0 || len(j.legs) > 0 {
@@ -218,6 +219,15 @@
 	_ = h.refuse(w, j.Head, e) // the connection may be the reason of the panic
 }
 
+// abort ends the connection of a request so that its answer does not look complete.
+func (h *Handler) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// There are no chunks, so that the end of the connection is that of the answer.
+		connend.ResetOnClose(r.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // read reads and checks the caller's request. The job holds the decoded request also if
 // there is an error.
 func (j *job) read(now time.Time, stage Stage) error {
