cmd/covectl: no success for a response that is none

covectl ended with exit code 0, and printed the body, for a response with status 000, and for one in whose head a field name held a blank: an operator would have taken a change for accepted.

Cause: every status below 400 counted as success, and the head was read by net/http alone.

Fix: the client's transport is exchange.Transport.

--- a/cmd/covectl/client.go
+++ b/cmd/covectl/client.go
@@ -11,11 +11,14 @@
 	"strings"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/admin"
+	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
 )
 
 // maxResponseBytes limits how much of a response is read.
 const maxResponseBytes = 64 << 20
 
+var httpClient = &http.Client{Transport: exchange.Transport{RoundTripper: http.DefaultTransport}}
+
 // client sends an operator's commands to a node.
 type client struct {
 	options options
@@ -71,7 +74,7 @@
 		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+token)
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := httpClient.Do(r)
 	if err != nil {
 		return nil, err
 	}
