internal/exchange: a malformed trailer leaves a response incomplete

A response in chunks counted as complete although the name of a field behind its last chunk held a blank. Callers don't get trailers, but the bytes there are not what HTTP has, in a place that decides whether the body has ended.

Cause: trailers are read by the same code of net/textproto as heads.

Fix: at its end the body of a response is checked for the names of its trailers, like the head. Trailers with a control byte or without a colon were refused before.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -125,6 +125,7 @@
 	}
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"), 1)
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX: y\r\n\r\nelse"), 1)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX : y\r\n\r\n"), 1)
 	f.Add([]byte("HTTP/1.1 000 No\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"), 1)
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nfine"), 1)
 	f.Add([]byte("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), 1)
@@ -146,6 +147,11 @@
 			t.Errorf("head (-want +got):\n%s", diff)
 		}
 		wantBody, wantErr := io.ReadAll(want.Body)
+		for name := range want.Trailer {
+			if strings.Contains(name, " ") {
+				wantErr = errors.New("ambiguous trailer")
+			}
+		}
 		body, err := io.ReadAll(resp.Body)
 		if !bytes.Equal(wantBody, body) || (wantErr == nil) != (err == nil) {
 			t.Errorf("body %q, %v, want %q, %v", body, err, wantBody, wantErr)
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -33,7 +33,7 @@
 			}
 			return Response{
 				Status: resp.StatusCode, Header: resp.Header, Length: length,
-				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body,
+				Delimited: length >= 0 || len(resp.TransferEncoding) > 0, Body: checkedBody{resp},
 			}, nil
 		}
 	}
@@ -88,8 +88,13 @@
 	case strings.ContainsFunc(resp.Status, isControl):
 		return fmt.Errorf("malformed response: status %q", resp.Status)
 	}
-	for name := range resp.Header {
-		// Other names that are no tokens are refused by net/http.
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error for a name with a blank. Other names that are no tokens are
+// refused by net/http.
+func checkNames(fields http.Header) error {
+	for name := range fields {
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("malformed response: field name %q", name)
 		}
@@ -97,6 +102,20 @@
 	return nil
 }
 
+// checkedBody is the body of a response, which is not complete if its trailers are malformed.
+type checkedBody struct{ resp *http.Response }
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkNames(b.resp.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
+
 // headReader reads the heads of the responses on a connection.
 type headReader struct {
 	r *bufio.Reader
