--- a/cmd/covectl/client.go
+++ b/cmd/covectl/client.go
@@ -17,6 +17,7 @@
 // maxResponseBytes limits how much of a response is read.
 const maxResponseBytes = 64 << 20
 
+// httpClient refuses responses that are none.
 var httpClient = &http.Client{Transport: exchange.Transport{RoundTripper: http.DefaultTransport}}
 
 // client sends an operator's commands to a node.
--- a/internal/connend/dialed.go
+++ b/internal/connend/dialed.go
@@ -23,8 +23,8 @@
 // DialFunc opens connections, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dialed is d with its connections wrapped by the function Dialed.
-func (d DialFunc) Dialed(ctx context.Context, network, address string) (net.Conn, error) {
+// DialContext opens a connection and wraps it by Dialed.
+func (d DialFunc) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,11 @@
 //	defer conn.Close()
 //	resp, err := conn.Do(request) // from here on the request may have run
 //
+// Clients of package net/http get the same checks of what they read by a Transport, or
+// by Dialer.DialContext if they use each connection for one request:
+//
+//	client := &http.Client{Transport: exchange.Transport{RoundTripper: &http.Transport{}}}
+//
 // A Dialer is safe for concurrent use. A Conn must be used by one goroutine only.
 package exchange
 
@@ -97,7 +102,7 @@
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	return d.dial.Dialed(ctx, "tcp", address)
+	return d.dial.DialContext(ctx, "tcp", address)
 }
 
 // NewConn returns a Conn for one request on an open connection, which is closed when ctx
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -62,7 +62,7 @@
 
 // NewClient returns a Client.
 func NewClient(opts ClientOptions) *Client {
-	dial := connend.DialFunc((&net.Dialer{Timeout: dialTimeout}).DialContext).Dialed
+	dial := connend.DialFunc((&net.Dialer{Timeout: dialTimeout}).DialContext).DialContext
 	pooled := &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer, MaxResponseHeaderBytes: maxHeadBytes}
 	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
