--- a/cmd/covectl/client_test.go
+++ b/cmd/covectl/client_test.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
-	"io"
-	"net"
-	"net/http"
 	"testing"
+
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 )
 
 // Guards against a command that reports success for a broken response of a node.
@@ -28,23 +26,8 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, test.raw)
-				}
-			}()
 			var stdout, stderr bytes.Buffer
-			code := run([]string{"-node", l.Addr().String(), "-json", "status"}, &stdout, &stderr)
+			code := run([]string{"-node", rawserver.Start(t, rawserver.Options{Raw: test.raw}), "-json", "status"}, &stdout, &stderr)
 			if sound := code == 0; sound != test.sound {
 				t.Errorf("exit code %d, output %q, %q", code, stdout.String(), stderr.String())
 			}
--- a/internal/engineapi/broken_test.go
+++ b/internal/engineapi/broken_test.go
@@ -1,7 +1,6 @@
 package engineapi_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/engineapi"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/upstream"
 	"github.com/hibiscuscove/hibiscuscove/internal/verdict"
 )
@@ -25,38 +25,12 @@
 	Verdict  string
 }
 
+// uploadPause is the time in which an upload fills the buffers of its connection.
+const uploadPause = 40 * time.Millisecond
+
 // failed is the outcome of a call that may have run and has no response.
 var failed = outcome{Verdict: "may_have_run"}
 
-// serveRaw writes raw to each connection once the head of a request is in, and ends it with
-// end. It returns the address.
-func serveRaw(t *testing.T, raw string, end func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, raw)
-				time.Sleep(40 * time.Millisecond)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // call sends a request and reads the whole response.
 func call(t *testing.T, address string, body []byte) outcome {
 	t.Helper()
@@ -78,32 +52,27 @@
 // the connection while the request was being sent.
 func TestResponseAmidUploadIsCompleteOnlyIfEnded(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n"
-	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
-	closeInOrder := func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, c)
-	}
 	tests := map[string]struct {
 		raw  string
 		end  func(c *net.TCPConn)
 		want outcome
 	}{
-		"reset":           {head + "\r\nfi", reset, outcome{200, "fi", false, ""}},
-		"closed unread":   {head + "\r\nfi", func(*net.TCPConn) {}, outcome{200, "fi", false, ""}},
-		"reset, empty":    {head + "\r\n", reset, outcome{200, "", false, ""}},
-		"reset in a head": {head, reset, failed},
-		"ended in a head": {head, closeInOrder, failed},
-		"no head, reset":  {"", reset, failed},
-		"no head, ended":  {"", closeInOrder, failed},
-		"ended":           {head + "\r\nfine", closeInOrder, outcome{200, "fine", true, ""}},
-		"length, reset":   {head + "Content-Length: 4\r\n\r\nfine", reset, outcome{200, "fine", true, ""}},
-		"length, cut":     {head + "Content-Length: 9\r\n\r\nfine", closeInOrder, outcome{200, "fine", false, ""}},
+		"reset":           {head + "\r\nfi", rawserver.Reset, outcome{200, "fi", false, ""}},
+		"closed unread":   {head + "\r\nfi", rawserver.Close, outcome{200, "fi", false, ""}},
+		"reset, empty":    {head + "\r\n", rawserver.Reset, outcome{200, "", false, ""}},
+		"reset in a head": {head, rawserver.Reset, failed},
+		"ended in a head": {head, rawserver.HalfClose, failed},
+		"no head, reset":  {"", rawserver.Reset, failed},
+		"no head, ended":  {"", rawserver.HalfClose, failed},
+		"ended":           {head + "\r\nfine", rawserver.HalfClose, outcome{200, "fine", true, ""}},
+		"length, reset":   {head + "Content-Length: 4\r\n\r\nfine", rawserver.Reset, outcome{200, "fine", true, ""}},
+		"length, cut":     {head + "Content-Length: 9\r\n\r\nfine", rawserver.HalfClose, outcome{200, "fine", false, ""}},
 	}
 	body := make([]byte, 8<<20)
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address := serveRaw(t, test.raw, test.end)
+			address := rawserver.Start(t, rawserver.Options{Raw: test.raw, Early: true, Pause: uploadPause, End: test.end})
 			// Which of the two directions gets the error is a matter of luck.
 			for range 8 {
 				if diff := cmp.Diff(test.want, call(t, address, body)); diff != "" {
@@ -158,7 +127,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if diff := cmp.Diff(test.want, call(t, serveRaw(t, test.raw, func(*net.TCPConn) {}), []byte("{}"))); diff != "" {
+			if diff := cmp.Diff(test.want, call(t, rawserver.Start(t, rawserver.Options{Raw: test.raw}), []byte("{}"))); diff != "" {
 				t.Errorf("outcome (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/entryvm/brokenpeer_test.go
+++ b/internal/entryvm/brokenpeer_test.go
@@ -1,38 +1,14 @@
 package entryvm_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/entryvm"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 )
 
-// serveRaw answers each request with raw and closes the connection. It returns the URL.
-func serveRaw(t *testing.T, raw string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, raw)
-			}
-			_ = c.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // Guards against a broken response of what runs at another VM's address that counts as that
 // VM's state, as its answer for a stream, or as a permit.
 func TestBrokenResponsesOfPeers(t *testing.T) {
@@ -57,7 +33,7 @@
 		for name, test := range tests {
 			t.Run(clientName+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				resp, err := client().Get(serveRaw(t, test.raw))
+				resp, err := client().Get("http://" + rawserver.Start(t, rawserver.Options{Raw: test.raw}))
 				if err == nil {
 					_, err = io.ReadAll(resp.Body)
 					_ = resp.Body.Close()
--- a/internal/exchange/upload_test.go
+++ b/internal/exchange/upload_test.go
@@ -1,7 +1,6 @@
 package exchange_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/exchange"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 )
 
 // uploadBytes is more than the buffers of a connection take, so that the upload waits while
@@ -23,10 +23,10 @@
 
 // The ways in which an upstream ends its connection while a request is being sent to it.
 var uploadEnds = map[string]func(c *net.TCPConn){
-	"reset": func(c *net.TCPConn) { _ = c.SetLinger(0) },
+	"reset": rawserver.Reset,
 	// Closing with unread bytes of the request resets the connection.
-	"closed":     func(*net.TCPConn) {},
-	"half-close": func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) },
+	"closed":     rawserver.Close,
+	"half-close": rawserver.HalfClose,
 	"half-close, then reset": func(c *net.TCPConn) {
 		_ = c.CloseWrite()
 		time.Sleep(30 * time.Millisecond)
@@ -39,38 +39,9 @@
 	},
 }
 
-// bufferedBytes is the size of the reader with which stand-ins read the head of a request.
+// bufferedBytes is at least what a stand-in reads of a body together with the head.
 const bufferedBytes = 4 << 10
 
-// serveEarly listens for connections, reads the head of a request from each, writes raw and
-// ends the connection in the given way once the upload waits. It returns the address.
-func serveEarly(t *testing.T, raw string, end func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(c, bufferedBytes)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, raw)
-				time.Sleep(30 * time.Millisecond)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against a part of a response that counts as the whole one: the write of a long
 // request takes the error of a reset, and the read that follows sees an end.
 func TestResponseAmidUploadIsCompleteOnlyIfEnded(t *testing.T) {
@@ -109,7 +80,7 @@
 					t.Parallel()
 					ended := endName == "half-close" || endName == "half-close, then reset"
 					want := test.complete == always || test.complete != never && ended
-					address := serveEarly(t, test.raw, end)
+					address := rawserver.Start(t, rawserver.Options{Raw: test.raw, Early: true, Pause: 30 * time.Millisecond, End: end})
 					// Which of the two directions gets the error is a matter of luck.
 					for range 3 {
 						got, err := uploadAndRead(t, address, delay)
--- a/internal/objectstore/broken_test.go
+++ b/internal/objectstore/broken_test.go
@@ -1,46 +1,15 @@
 package objectstore_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/hibiscuscove/hibiscuscove/internal/objectstore"
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 )
 
-// serveRaw answers each request with raw and closes the connection. It returns the URL.
-func serveRaw(t *testing.T, raw string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, raw)
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // Guards against a broken response of the store that counts as an object, or as proof of what
 // a write has done.
 func TestBrokenResponses(t *testing.T) {
@@ -67,7 +36,7 @@
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			store := objectstore.NewHTTPStore(objectstore.HTTPStoreOptions{URL: serveRaw(t, test.raw)})
+			store := objectstore.NewHTTPStore(objectstore.HTTPStoreOptions{URL: "http://" + rawserver.Start(t, rawserver.Options{Raw: test.raw})})
 			_, getErr := store.Get(ctx, "k")
 			_, putErr := store.Put(ctx, "k", []byte("value"), 6)
 			deleteErr := store.Delete(ctx, "k", 6)
--- a/internal/vm/vm_test.go
+++ b/internal/vm/vm_test.go
@@ -1,12 +1,9 @@
 package vm_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
+	"github.com/hibiscuscove/hibiscuscove/internal/standin/rawserver"
 	"github.com/hibiscuscove/hibiscuscove/internal/vm"
 )
 
@@ -29,22 +26,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, test.raw)
-				}
-			}()
-			_, err = vm.NewHTTPLister("http://" + l.Addr().String()).List(t.Context())
+			_, err := vm.NewHTTPLister("http://" + rawserver.Start(t, rawserver.Options{Raw: test.raw})).List(t.Context())
 			if sound := err == nil; sound != test.sound {
 				t.Errorf("the list counts as sound: %v, want %v (%v)", sound, test.sound, err)
 			}
