internal/relay: only a VM that relays is sent a request to relay

A VM that asked another address for a connection took any switch of protocols for a relayed one, also one whose field "Upgrade " is none, and sent the request there. Nobody has reported it; it is the last place in which an answer was read with net/http alone.

Fix: the answer must name the protocol of the relay, as every build does. Else the next VM is asked; nothing has been sent.

Evidence: TestBrokenHandshakes failed before in 3 of 14 cases; all pass now.

--- a/internal/relay/connector.go
+++ b/internal/relay/connector.go
@@ -131,7 +131,7 @@
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
-	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols && resp.Header.Get("Upgrade") == protocol {
 		return &tunnel{Conn: conn, r: r}, nil
 	}
 	_ = conn.Close()
