internal/ingress: a stream that a caller takes up goes on only by an event with an ID

A caller that took a broken stream up with the ID of its last event could get an error's text as the rest, or a comment and then an end that looked complete: the first upstream of that request was not held to the rule for those that go on.

Cause: the rule asked whether this request had sent a head, not whether its caller has events. Fix: it asks for the last event that the caller has, from whichever request.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -67,8 +67,9 @@
 	}
 }
 
-// continues reports whether a leg has yet to go on with a stream that another one has begun.
-func (j *job) continues(l *leg.Leg) bool { return j.headSent && j.lastEvent != "" && !l.Forwarded }
+// continues reports whether a leg has yet to go on with a stream that another one, or another
+// request of the caller, has begun.
+func (j *job) continues(l *leg.Leg) bool { return j.lastEvent != "" && !l.Forwarded }
 
 // mayEndStream reports whether the end of a leg's events is that of the stream, or can be
 // passed over since another leg is under way. Without a length or chunks, an end before the
