--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -113,9 +113,14 @@
 
 // hasFieldName reports whether the name in a line, if there is one, may be that of a field.
 func hasFieldName(line []byte) bool {
-	name, _, _ := bytes.Cut(line, []byte(":"))
-	return !bytes.ContainsFunc(name, func(c rune) bool {
-		// Lines may also end with a carriage return alone.
-		return c <= ' ' && c != '\r' || c == '\x7f'
-	})
+	for _, c := range line {
+		switch {
+		case c == ':':
+			return true
+		case c == '\r': // lines may also end with it alone
+		case c <= ' ' || c == '\x7f':
+			return false
+		}
+	}
+	return true
 }
