--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -63,6 +63,9 @@
 	machines []*machine
 	crashes  []time.Time
 	arrivals []time.Time
+	// ordersSeen counts the orders, and lateTo holds the workers that leave one unanswered.
+	ordersSeen int
+	lateTo     []string
 }
 
 // machine is an entry VM: a process of the daemon.
@@ -273,7 +276,7 @@
 }
 
 func main() {
-	name := flag.String("case", "", "the case: silent-crash or many-fields")
+	name := flag.String("case", "", "the case: silent-crash, late-order or many-fields")
 	recordPath := flag.String("record", "", "the file for the record")
 	flag.Parse()
 	template, err := os.ReadFile("deploy/settings.json.tmpl")
@@ -305,6 +308,8 @@
 	switch *name {
 	case "silent-crash":
 		exit(f.playSilentCrash())
+	case "late-order":
+		exit(f.playLateOrder())
 	case "many-fields":
 		exit(f.playManyFields())
 	default:
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -34,6 +34,10 @@
 	sequence int
 	dark     bool
 	beatAt   time.Time
+	// version is that of the weights, orders the number of orders taken by this boot.
+	version, orders int
+	busy, stopped   bool
+	turnedAway, ran int
 }
 
 // startWorker starts a boot with a new ID and registers it.
@@ -44,17 +48,24 @@
 	}
 	f.mu.Lock()
 	f.boots++
-	w := &worker{id: fmt.Sprintf("i-%04x", 0xa000+f.boots), service: service, f: f, listener: l.(*net.TCPListener), born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	id := fmt.Sprintf("i-%04x", 0xa000+f.boots)
+	f.mu.Unlock()
+	return f.serveWorker(&worker{id: id, service: service, f: f, listener: l.(*net.TCPListener), born: time.Now().UnixMilli(), ended: make(chan struct{}), version: 1})
+}
+
+// serveWorker serves and registers a boot.
+func (f *fleet) serveWorker(w *worker) *worker {
+	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-events", w.events)
 	mux.HandleFunc("GET /api/report", w.report)
-	mux.HandleFunc("POST /api/order", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, struct{}{}) })
+	mux.HandleFunc("POST /api/order", w.serveOrder)
 	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("Instance-Id", w.id) })
 	mux.HandleFunc("POST /", w.run)
 	w.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
-	go func() { _ = w.server.Serve(l) }()
+	go func() { _ = w.server.Serve(w.listener) }()
 	w.beat()
 	go w.beatOn()
 	return w
@@ -72,12 +83,12 @@
 func (w *worker) beat() {
 	w.mu.Lock()
 	w.sequence++
-	sequence := w.sequence
+	sequence, version := w.sequence, w.version
 	w.beatAt = time.Now()
 	w.mu.Unlock()
 	w.f.store.put("servers", w.id, map[string]any{
 		"backend": w.service, "address": w.address(), "zone": "durban-a", "version": "v1", "slots": slots, "state": "ready", "cold_remaining_ms": 0,
-		"stage": "colocated", "models": []any{map[string]any{"name": model, "version": 1, "adapters": []any{}}}, "sequence": sequence, "born": w.born,
+		"stage": "colocated", "models": []any{map[string]any{"name": model, "version": version, "adapters": []any{}}}, "sequence": sequence, "born": w.born,
 	})
 }
 
@@ -160,8 +171,11 @@
 	if w.hang(r) {
 		return
 	}
+	w.mu.Lock()
+	version, orders, busy := w.version, w.orders, w.busy
+	w.mu.Unlock()
 	reply(rw, http.StatusOK, map[string]any{
-		"stage": "colocated", "models": []any{map[string]any{"name": model, "version": 1, "adapters": []any{}}}, "busy": false, "sequence": 0, "born": w.born,
+		"stage": "colocated", "models": []any{map[string]any{"name": model, "version": version, "adapters": []any{}}}, "busy": busy, "sequence": orders, "born": w.born,
 		"queued": 0, "active": 0, "kv_used": 0, "kv_total": 116169, "handles": 0,
 	})
 }
@@ -185,6 +199,28 @@
 	if crashing {
 		w.f.recordArrival(w, id)
 	}
+	w.mu.Lock()
+	version, busy := w.version, w.busy
+	other := r.Header.Get("Expect-Version") != "" && r.Header.Get("Expect-Version") != strconv.Itoa(version)
+	if other && !busy {
+		w.turnedAway++
+	} else if !busy {
+		w.ran++
+	}
+	w.mu.Unlock()
+	switch {
+	case busy:
+		rw.Header().Set("Not-Executed", "1")
+		rw.Header().Set("Request-Attempt-Id", id)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case other:
+		rw.Header().Set("Instance-Id", w.id)
+		rw.Header().Set("Request-Attempt-Id", id)
+		rw.Header().Set("Weight-Versions", strconv.Itoa(version))
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	time.Sleep(20 * time.Millisecond) // until it begins to run
 	if crashing && w.f.trouble {
 		if w.crash() {
@@ -196,7 +232,7 @@
 	h := rw.Header()
 	h.Set("Request-Attempt-Id", id)
 	h.Set("Response-Signature", "stand-in."+w.id)
-	h.Set("Weight-Versions", "1")
+	h.Set("Weight-Versions", strconv.Itoa(version))
 	h.Set("Content-Type", "text/event-stream")
 	for i := 1; i <= 8; i++ {
 		if w.hang(r) {
