--- a/review/standin3/lateorder.go
+++ b/review/standin3/lateorder.go
@@ -48,7 +48,14 @@
 	}
 	w.orders++
 	w.busy = true
-	time.AfterFunc(loadTime, func() {
+	takes := loadTime
+	if w.f.shareLoads {
+		takes = w.f.takeLoad()
+	}
+	time.AfterFunc(takes, func() {
+		if w.f.shareLoads {
+			w.f.endLoad()
+		}
 		w.mu.Lock()
 		if w.stopped {
 			w.mu.Unlock()
@@ -91,13 +98,13 @@
 	reply(rw, status, struct{}{})
 }
 
-// isLate reports whether the next order gets no answer: every second one, until there are
-// enough.
+// isLate reports whether the next order gets no answer: in playLateOrder every second one,
+// until there are enough.
 func (f *fleet) isLate() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ordersSeen++
-	return f.trouble && f.ordersSeen%2 == 1 && len(f.lateTo) < lateOrders
+	return f.trouble && !f.shareLoads && f.ordersSeen%2 == 1 && len(f.lateTo) < lateOrders
 }
 
 // bootOf returns the present boot of a worker.
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -66,6 +66,9 @@
 	// ordersSeen counts the orders, and lateTo holds the workers that leave one unanswered.
 	ordersSeen int
 	lateTo     []string
+	// loads counts the loads under way, which share their time if shareLoads is set.
+	loads      int
+	shareLoads bool
 }
 
 // machine is an entry VM: a process of the daemon.
@@ -276,7 +279,7 @@
 }
 
 func main() {
-	name := flag.String("case", "", "the case: silent-crash, late-order or many-fields")
+	name := flag.String("case", "", "the case: versions, silent-crash, late-order or many-fields")
 	recordPath := flag.String("record", "", "the file for the record")
 	flag.Parse()
 	template, err := os.ReadFile("deploy/settings.json.tmpl")
@@ -308,6 +311,8 @@
 	switch *name {
 	case "silent-crash":
 		exit(f.playSilentCrash())
+	case "versions":
+		exit(f.playVersions())
 	case "late-order":
 		exit(f.playLateOrder())
 	case "many-fields":
